--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,602 @@
+// Package placement takes every decision of the balancer. The host passes what it sees to the inputs (List,
+// Flow, Carried, Established, Ended, Left, LoadNote, DelayNote, Probed, Woken), which only update what is known,
+// and then pulls decisions one by one with Next until there is none. The plain types are in types.go; flows and
+// servers are small indices given out at the door (internal/lbwire). Times are seconds on the host's clock.
+package placement
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	spillFactor = 1.5  // the design's first factor
+	spillFloor  = 2    // the design's floor: below it counts are chance
+	beat        = 0.25 // pace of housekeeping; finer than any hold below
+	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
+	firstHold   = 1.0  // a server set aside is left alone this long, doubled each time it comes back to fail
+	longestHold = 16.0 // so that a mended server is missed for no longer than it takes to notice
+	probePace   = 0.5  // between probes of one server set aside
+	noteLife    = 2.5  // a delay note comes once a second while it holds; two missed, it is over
+)
+
+type server struct {
+	Listing
+	listed     bool
+	held       int     // this balancer's connections and connects out
+	bad        float64 // failures of late
+	good       float64 // connects established of late
+	aside      bool
+	until      float64 // not probed before
+	hold       float64 // the next hold
+	answers    int     // probes answered in a row
+	probing    bool
+	probeAt    float64
+	delay      float64 // what a message takes there, by the last note
+	delayAt    float64
+	fullAt     float64 // last turned a connect away
+	load       float64 // by its last report
+	loadAt     float64
+	spent      float64 // connects sent in the current cold window
+	windowFrom float64
+}
+
+type flow struct {
+	kind, tenant int
+	ca           uint64
+	live         bool // the index is in use
+	owed         bool // a final answer is due
+	out          bool // a connect is out
+	open         bool // established
+	midFlow      bool
+	moved        bool
+	due          float64 // the final answer goes out before this
+	load         float64
+	at           int // server of the current connect or connection, -1 before the first
+	tries        int
+	tried        uint64  // servers asked already, by index mod 64
+	ranAt        float64 // when the first connect that may have run was sent, -1 for none
+	ranOn        int
+	sentAt       float64
+}
+
+// Balancer is one instance; nothing is shared between instances.
+type Balancer struct {
+	Rundown
+	servers []server
+	flows   []flow
+	base    []int // every listed server by id
+	usable  []int // rebuilt for each decision: the ones that take new flows now
+	todo    []int // flows that await a decision
+	asks    []Decision
+	chances uint64
+	fnv     hash.Hash64
+	total   int // connections held on listed servers
+	tenants []int
+	setups  [12]float64 // histogram of set-up times; bin i is up to 25 ms x 2^i
+	halveAt float64
+	beatAt  float64
+	pressed bool    // most servers are pressed
+	follows bool    // a subscription stands or is asked for
+	askAt   float64 // when to ask for the list (again)
+	askGap  float64
+}
+
+// New gives an instance that knows nothing but its rundown.
+func New(r Rundown) *Balancer {
+	r.Nodes, r.MaxConnects = max(r.Nodes, 1), max(r.MaxConnects, 0)
+	if len(r.Types) == 0 {
+		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
+	}
+	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)), beatAt: -1}
+	return b
+}
+
+// chance is even over [0, 1), from the seed and a counter.
+func (b *Balancer) chance() float64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], b.chances)
+	binary.LittleEndian.PutUint64(buf[8:], b.Seed)
+	b.chances++
+	b.fnv.Reset()
+	b.fnv.Write(buf[:])
+	return float64(b.fnv.Sum64()>>11) / (1 << 53)
+}
+
+func (b *Balancer) say(format string, args ...any) {
+	b.asks = append(b.asks, Decision{Do: Log, Line: fmt.Sprintf(format, args...)})
+}
+
+// ---- the list ----
+
+// List takes what the list of servers tells.
+func (b *Balancer) List(now float64, kind ListKind, items []Listing) {
+	if kind == ListFailed {
+		b.follows = false
+		b.askGap = min(max(2*b.askGap, 0.5), 4)
+		b.askAt = now + b.askGap*(0.5+b.chance())
+		b.say("list call failed, next in %.1f s, %d servers known", b.askAt-now, len(b.base))
+		return
+	}
+	if kind != ListCached {
+		b.askGap = 0
+	}
+	if kind != ListChanges {
+		for i := range b.servers {
+			b.servers[i].listed = false
+		}
+	}
+	before := len(b.base)
+	for _, it := range items {
+		for len(b.servers) <= it.Server {
+			b.servers = append(b.servers, server{hold: firstHold, delayAt: -99, fullAt: -99, loadAt: -99})
+		}
+		s := &b.servers[it.Server]
+		if it.Since != s.Since { // a fresh process: what was known of the old one is void
+			*s = server{held: s.held, probing: s.probing, hold: firstHold, delayAt: -99, fullAt: -99, loadAt: -99}
+		}
+		s.Listing, s.listed = it, it.State != Gone
+	}
+	b.base, b.total = b.base[:0], 0
+	for i := range b.servers {
+		if b.servers[i].listed {
+			b.base = append(b.base, i)
+			b.total += b.servers[i].held
+		} else {
+			b.servers[i].aside = false
+		}
+	}
+	slices.SortFunc(b.base, func(x, y int) int { return cmp.Compare(b.servers[x].ID, b.servers[y].ID) })
+	if len(b.base) != before {
+		b.say("base list of %d servers, was %d", len(b.base), before)
+	}
+}
+
+// ---- flows ----
+
+func (b *Balancer) row(kind int) *ServiceType { return &b.Types[min(max(kind, 0), len(b.Types)-1)] }
+
+func (b *Balancer) take(id int, a Arrival) *flow {
+	for len(b.flows) <= id {
+		b.flows = append(b.flows, flow{})
+	}
+	key := a.Key
+	if key == 0 { // without a client key the group stands in for it, and without a group chance
+		if key = a.Group; key == 0 {
+			key = math.Float64bits(b.chance())
+		}
+	}
+	var buf [8]byte
+	binary.BigEndian.PutUint64(buf[:], key)
+	b.flows[id] = flow{live: true, kind: a.Type, tenant: a.Tenant, ca: xxhash.Sum64(buf[:]), midFlow: a.MidFlow,
+		load: a.Load, at: -1, ranAt: -1}
+	return &b.flows[id]
+}
+
+// Flow takes an arriving flow, which is owed one final answer.
+func (b *Balancer) Flow(now float64, id int, a Arrival) {
+	f := b.take(id, a)
+	f.owed = true
+	f.due = now + a.Left - 3*b.Tick // so that the answer is out before the client gives up
+	b.todo = append(b.todo, id)
+}
+
+// Carried takes a connection that was passing through when this balancer started.
+func (b *Balancer) Carried(now float64, id int, a Arrival, on int) {
+	f := b.take(id, a)
+	f.tries, f.sentAt = 1, now
+	b.hold(f, on)
+	b.opened(f)
+}
+
+func (b *Balancer) hold(f *flow, on int) {
+	for len(b.servers) <= on {
+		b.servers = append(b.servers, server{hold: firstHold, delayAt: -99, fullAt: -99, loadAt: -99})
+	}
+	f.at, f.out = on, true
+	s := &b.servers[on]
+	s.held++
+	if s.listed {
+		b.total++
+	}
+}
+
+func (b *Balancer) letGo(f *flow) {
+	s := &b.servers[f.at]
+	s.held--
+	if s.listed {
+		b.total--
+	}
+	f.out = false
+	if f.open && f.tenant >= 0 && f.tenant < len(b.tenants) {
+		b.tenants[f.tenant]--
+	}
+	f.open = false
+}
+
+func (b *Balancer) opened(f *flow) {
+	f.open, f.owed = true, false
+	if f.tenant >= 0 && f.tenant < len(b.tenants) {
+		b.tenants[f.tenant]++
+	}
+}
+
+func (b *Balancer) known(id int) bool { return id >= 0 && id < len(b.flows) && b.flows[id].live }
+
+// Established takes the news that a connect is up.
+func (b *Balancer) Established(now float64, id, try int, took float64) {
+	if !b.known(id) {
+		return
+	}
+	f := &b.flows[id]
+	if !f.out || f.open || try != f.tries-1 {
+		return
+	}
+	b.opened(f)
+	b.servers[f.at].good++
+	bin := 0
+	for edge := 0.025; took > edge && bin < len(b.setups)-1; edge *= 2 {
+		bin++
+	}
+	b.setups[bin]++
+}
+
+// Ended takes the end of a connect or of the connection it became; over says that the flow is finished.
+func (b *Balancer) Ended(now float64, id, try int, how Outcome, over bool) {
+	if !b.known(id) {
+		return
+	}
+	f := &b.flows[id]
+	if f.out && try == f.tries-1 {
+		wasOpen := f.open
+		b.letGo(f)
+		b.judge(now, f, how, wasOpen)
+		proved := how == Full || how == Unreached || how == NeverSent
+		if !proved && f.ranAt < 0 {
+			f.ranAt, f.ranOn = f.sentAt, f.at
+		}
+		if wasOpen {
+			f.owed = false
+		}
+	}
+	if over || how == Served {
+		f.owed = false
+	}
+	if f.owed && !f.out {
+		b.todo = append(b.todo, id)
+	}
+}
+
+// Left takes the news that the client is gone.
+func (b *Balancer) Left(id int) {
+	if b.known(id) {
+		b.flows[id].owed = false
+	}
+}
+
+// Idle tells whether nothing more can come for a flow; its index may then be used again.
+func (b *Balancer) Idle(id int) bool {
+	if !b.known(id) || b.flows[id].owed || b.flows[id].out {
+		return false
+	}
+	b.flows[id].live = false
+	return true
+}
+
+// ---- what outcomes, notes and probes tell of servers ----
+
+func (b *Balancer) judge(now float64, f *flow, how Outcome, wasOpen bool) {
+	s := &b.servers[f.at]
+	switch {
+	case how == Full:
+		s.fullAt = now
+	case wasOpen && how == Broken:
+		s.bad += 0.5 // one break may be the server shedding; two together are its end
+	case how == Unreached, how == Broken, how == Errored:
+		s.bad++
+	case how == Unanswered:
+		s.bad += 0.5
+	case wasOpen && how == Served:
+		s.good += 0.2
+	}
+	if s.bad >= 1 && s.bad > s.good/2 && !s.aside && s.listed {
+		b.setAside(now, s, f.at)
+	}
+}
+
+// setAside takes a server out of the usable ones. Failures common to many servers point at what they share or
+// at the traffic, so no more than a third are ever out together.
+func (b *Balancer) setAside(now float64, s *server, at int) {
+	out, ready := 1, 0
+	for _, i := range b.base {
+		if b.servers[i].State == Ready {
+			ready++
+			if b.servers[i].aside {
+				out++
+			}
+		}
+	}
+	if out > max(1, ready/3) {
+		return
+	}
+	s.aside, s.answers = true, 0
+	s.until = now + s.hold
+	s.hold = min(2*s.hold, longestHold)
+	s.probeAt = s.until
+	b.say("server %d set aside for %.1f s: %.1f failures to %.1f established, %d of %d out", s.ID, s.until-now,
+		s.bad, s.good, out, ready)
+}
+
+// LoadNote takes the load of an open connection.
+func (b *Balancer) LoadNote(id int, load float64) {
+	if b.known(id) {
+		b.flows[id].load = load
+	}
+}
+
+// DelayNote takes how long a message takes now at the server of an open connection.
+func (b *Balancer) DelayNote(now float64, id int, delay float64) {
+	if !b.known(id) || !b.flows[id].open {
+		return
+	}
+	s := &b.servers[b.flows[id].at]
+	s.delay, s.delayAt = delay, now
+}
+
+// Probed takes the result of a probe.
+func (b *Balancer) Probed(now float64, at int, how Outcome, r Report) {
+	if at < 0 || at >= len(b.servers) {
+		return
+	}
+	s := &b.servers[at]
+	s.probing = false
+	if r.Load >= 0 {
+		s.load, s.loadAt = r.Load, now
+	}
+	if !s.aside {
+		if how == Unreached || how == Unanswered || how == Broken {
+			s.bad += 0.5
+		}
+		return
+	}
+	if how != Served {
+		s.answers = 0
+		return
+	}
+	if s.answers++; s.answers >= 2 {
+		s.aside, s.bad, s.good = false, 0, 0
+		b.say("server %d back after %d probes answered", s.ID, s.answers)
+	}
+}
+
+// Woken takes a wake that was asked for.
+func (b *Balancer) Woken(now float64) {
+	if now >= b.beatAt-b.Tick {
+		b.beatAt = -1
+	}
+	if now < b.halveAt {
+		return
+	}
+	b.halveAt = now + halfLife
+	for i := range b.servers {
+		b.servers[i].bad /= 2
+		b.servers[i].good /= 2
+	}
+	for i := range b.setups {
+		b.setups[i] /= 2
+	}
+}
+
+// ---- the path ----
+
+// slow tells that messages at a server take too long for its connections' good: new ones would add to it.
+func (b *Balancer) slow(now float64, s *server) bool {
+	if now-s.fullAt < 1 || now-s.loadAt < noteLife && s.load > 0.95 {
+		return true
+	}
+	return now-s.delayAt < noteLife && s.delay > b.shortestAim()/2
+}
+
+func (b *Balancer) shortestAim() float64 {
+	aim := math.Inf(1)
+	for i := range b.Types {
+		if a := b.Types[i].MessageAim; a > 0 {
+			aim = min(aim, a)
+		}
+	}
+	return aim
+}
+
+// survey rebuilds the usable servers by id: ready, not set aside, and not pressed unless most are.
+func (b *Balancer) survey(now float64, pressedToo bool) {
+	b.usable = b.usable[:0]
+	sound, calm := 0, 0
+	for _, i := range b.base {
+		if s := &b.servers[i]; s.State == Ready && !s.aside {
+			sound++
+			if !b.slow(now, s) {
+				calm++
+			}
+		}
+	}
+	most := 2*calm < sound
+	if most != b.pressed {
+		b.pressed = most
+		b.say("pressure on most servers: %v, %d of %d calm", most, calm, sound)
+	}
+	for _, i := range b.base {
+		s := &b.servers[i]
+		if s.State == Ready && (sound == 0 || !s.aside) && (most || pressedToo || !b.slow(now, s)) {
+			b.usable = append(b.usable, i)
+		}
+	}
+}
+
+// warmth is the share of its capacity that a server has at the least by now.
+func (b *Balancer) warmth(now float64, s *server) float64 {
+	age := now - s.Since
+	if s.Since <= 0 || b.ColdFor <= 0 || age >= b.ColdFor {
+		return 1
+	}
+	return b.ColdFrom + (1-b.ColdFrom)*max(age, 0)/b.ColdFor
+}
+
+// mayTake is this node's part of the budget of a cold server: what a warm server's connections, spread over the
+// warm-up, let it take in one window, times its warmth.
+func (b *Balancer) mayTake(now float64, s *server, warm, mean float64) bool {
+	if warm >= 1 {
+		return true
+	}
+	if now-s.windowFrom >= b.FallFor {
+		s.windowFrom, s.spent = now, 0
+	}
+	return s.spent < max(1, warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
+}
+
+// lawful tells whether a further connect of f may go to server at: no effect twice.
+func (b *Balancer) lawful(now float64, f *flow, at int) bool {
+	t := b.row(f.kind)
+	if f.ranAt < 0 || t.Effect == Repeatable {
+		return true
+	}
+	if t.Effect == OnceOnly || now >= f.ranAt+t.MemorySpan {
+		return false
+	}
+	was, to := &b.servers[f.ranOn], &b.servers[at]
+	return t.Group == GroupAll || t.Group == GroupZone && was.Zone == to.Zone || t.Group == GroupCell && was.Cell == to.Cell
+}
+
+// rejectable tells whether the client may be told that a retry is safe.
+func (b *Balancer) rejectable(now float64, f *flow, away float64) bool {
+	t := b.row(f.kind)
+	return f.ranAt < 0 || t.Effect == Repeatable ||
+		t.Effect == Referenced && t.Group == GroupAll && now+away < f.ranAt+t.MemorySpan
+}
+
+// place walks the design's path and returns a server, or -1.
+func (b *Balancer) place(now float64, f *flow) int {
+	mid := f.midFlow && f.tries == 0
+	b.survey(now, mid)
+	m := len(b.usable)
+	if m == 0 {
+		return -1
+	}
+	mean := 0.0
+	for _, i := range b.usable {
+		mean += float64(b.servers[i].held)
+	}
+	mean /= float64(m)
+	entry := slices.Index(b.usable, b.base[f.ca%uint64(len(b.base))])
+	if entry < 0 {
+		entry = int(f.ca % uint64(m))
+	}
+	full := max(spillFloor, spillFactor*mean)
+	best, least := -1, math.Inf(1)
+	for k := range m {
+		at := b.usable[(entry+k)%m]
+		s := &b.servers[at]
+		warm := b.warmth(now, s)
+		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
+			continue
+		}
+		if mid && k == 0 {
+			return at
+		}
+		if float64(s.held) <= full*warm && (warm >= 1 || b.chance() < warm) {
+			return at
+		}
+		if over := float64(s.held) / warm; over < least {
+			best, least = at, over
+		}
+	}
+	return best
+}
+
+// timeout splits what is left before the connect timeout, so that a further connect fits.
+func (b *Balancer) timeout(now float64, f *flow) float64 {
+	left := f.due - now
+	if f.tries+1 >= b.MaxConnects || b.row(f.kind).Effect == OnceOnly {
+		return left
+	}
+	all, seen, usual := 0.0, 0.0, 0.025
+	for _, c := range b.setups {
+		all += c
+	}
+	for i, c := range b.setups {
+		if seen += c; seen >= 0.9*all {
+			usual = 0.025 * math.Pow(2, float64(i))
+			break
+		}
+	}
+	return min(left, max(b.row(f.kind).SetupTarget, 3*usual, left/2))
+}
+
+func (b *Balancer) settle(now float64, id int) (Decision, bool) {
+	f := &b.flows[id]
+	if !f.live || !f.owed || f.out {
+		return Decision{}, false
+	}
+	if now < f.due && f.tries < b.MaxConnects {
+		if at := b.place(now, f); at >= 0 {
+			within := b.timeout(now, f)
+			b.hold(f, at)
+			f.tries++
+			f.sentAt = now
+			f.tried |= 1 << (at % 64)
+			b.servers[at].spent++
+			return Decision{Do: Connect, Flow: id, Server: at, Within: within}, true
+		}
+	}
+	f.owed = false
+	away := b.RetryAdvice * (0.25 + 0.5*b.chance())
+	if b.rejectable(now, f, away) {
+		return Decision{Do: Reject, Flow: id, Within: away}, true
+	}
+	return Decision{Do: Abort, Flow: id}, true
+}
+
+// Next gives the next decision, or false when there is none for now.
+func (b *Balancer) Next(now float64) (Decision, bool) {
+	for len(b.todo) > 0 {
+		id := b.todo[0]
+		b.todo = b.todo[1:]
+		if d, ok := b.settle(now, id); ok {
+			return d, true
+		}
+	}
+	b.todo = b.todo[:0]
+	if len(b.asks) > 0 {
+		d := b.asks[0]
+		b.asks = b.asks[1:]
+		return d, true
+	}
+	if b.Subscribe && !b.follows && now >= b.askAt {
+		b.follows = true
+		return Decision{Do: Follow}, true
+	}
+	for i := range b.servers {
+		s := &b.servers[i]
+		if !s.aside || s.probing || now < s.probeAt || !s.listed || s.State != Ready {
+			continue
+		}
+		s.probeAt = now + probePace*(0.75+0.5*b.chance())
+		if b.Probes {
+			s.probing = true
+			return Decision{Do: Probe, Server: i}, true
+		}
+		s.aside = false
+		b.say("server %d back untested: no probes here", s.ID)
+	}
+	if b.beatAt < 0 {
+		b.beatAt = now + beat
+		return Decision{Do: Wake, Within: beat}, true
+	}
+	return Decision{}, false
+}
