--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	spillFactor = 1.5  // the design's first factor
+	spillFactor = 1.25 // the least the design allows
 	spillFloor  = 2    // the design's floor: below it counts are chance
 	beat        = 0.25 // pace of housekeeping; finer than any hold below
 	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
