A ceiling on each server's load and a gate on common failures end the jams

Cause: servers with more work than they can do dropped connections and the clients came straight back; a slow session store failed connects at every server and further connects kept it full. Failures seen at the other servers as well close a gate on connects out instead of setting servers aside.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,7 +24,6 @@
 	firstHold   = 1.0  // a server set aside is left alone this long, doubled each time it comes back to fail
 	longestHold = 16.0 // so that a mended server is missed for no longer than it takes to notice
 	probePace   = 0.5  // between probes of one server set aside
-	noteLife    = 2.5  // a delay note comes once a second while it holds; two missed, it is over
 )
 
 type server struct {
@@ -39,11 +38,11 @@
 	answers    int     // probes answered in a row
 	probing    bool
 	probeAt    float64
-	delay      float64 // what a message takes there, by the last note
-	delayAt    float64
+	moves      int     // in this beat
+	work       float64 // load of this balancer's connections there
+	ceiling    float64 // of work, once it was seen to be too much; infinite before
+	cutAt      float64 // when the ceiling was last lowered
 	fullAt     float64 // last turned a connect away
-	load       float64 // by its last report
-	loadAt     float64
 	spent      float64 // connects sent in the current cold window
 	windowFrom float64
 }
@@ -78,12 +77,15 @@
 	asks    []Decision
 	chances uint64
 	fnv     hash.Hash64
-	total   int // connections held on listed servers
 	tenants []int
 	setups  [12]float64 // histogram of set-up times; bin i is up to 25 ms x 2^i
 	halveAt float64
 	beatAt  float64
-	pressed bool    // most servers are pressed
+	typical []float64 // by service type: load of a connection
+	gate    float64   // most connects out at once while failures are common; infinite else
+	gateAt  float64
+	out     int     // connects out
+	crowded bool    // no usable server has room
 	follows bool    // a subscription stands or is asked for
 	askAt   float64 // when to ask for the list (again)
 	askGap  float64
@@ -95,7 +97,8 @@
 	if len(r.Types) == 0 {
 		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
 	}
-	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)), beatAt: -1}
+	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)), beatAt: -1,
+		typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99}
 	return b
 }
 
@@ -114,6 +117,8 @@
 	b.asks = append(b.asks, Decision{Do: Log, Line: fmt.Sprintf(format, args...)})
 }
 
+func unknown() server { return server{hold: firstHold, ceiling: math.Inf(1), cutAt: -99, fullAt: -99} }
+
 // ---- the list ----
 
 // List takes what the list of servers tells.
@@ -136,19 +141,20 @@
 	before := len(b.base)
 	for _, it := range items {
 		for len(b.servers) <= it.Server {
-			b.servers = append(b.servers, server{hold: firstHold, delayAt: -99, fullAt: -99, loadAt: -99})
+			b.servers = append(b.servers, unknown())
 		}
 		s := &b.servers[it.Server]
 		if it.Since != s.Since { // a fresh process: what was known of the old one is void
-			*s = server{held: s.held, probing: s.probing, hold: firstHold, delayAt: -99, fullAt: -99, loadAt: -99}
+			held, work, probing := s.held, s.work, s.probing
+			*s = unknown()
+			s.held, s.work, s.probing = held, work, probing
 		}
 		s.Listing, s.listed = it, it.State != Gone
 	}
-	b.base, b.total = b.base[:0], 0
+	b.base = b.base[:0]
 	for i := range b.servers {
 		if b.servers[i].listed {
 			b.base = append(b.base, i)
-			b.total += b.servers[i].held
 		} else {
 			b.servers[i].aside = false
 		}
@@ -161,7 +167,7 @@
 
 // ---- flows ----
 
-func (b *Balancer) row(kind int) *ServiceType { return &b.Types[min(max(kind, 0), len(b.Types)-1)] }
+func (b *Balancer) row(kind int) *ServiceType { return &b.Types[b.kindOf(kind)] }
 
 func (b *Balancer) take(id int, a Arrival) *flow {
 	for len(b.flows) <= id {
@@ -198,21 +204,24 @@
 
 func (b *Balancer) hold(f *flow, on int) {
 	for len(b.servers) <= on {
-		b.servers = append(b.servers, server{hold: firstHold, delayAt: -99, fullAt: -99, loadAt: -99})
+		b.servers = append(b.servers, unknown())
 	}
 	f.at, f.out = on, true
 	s := &b.servers[on]
 	s.held++
-	if s.listed {
-		b.total++
+	if f.load == 0 {
+		f.load = b.usualLoad(f.kind)
 	}
+	s.work += f.load
+	b.out++
 }
 
 func (b *Balancer) letGo(f *flow) {
 	s := &b.servers[f.at]
 	s.held--
-	if s.listed {
-		b.total--
+	s.work -= f.load
+	if !f.open {
+		b.out--
 	}
 	f.out = false
 	if f.open && f.tenant >= 0 && f.tenant < len(b.tenants) {
@@ -223,11 +232,31 @@
 
 func (b *Balancer) opened(f *flow) {
 	f.open, f.owed = true, false
+	b.out--
 	if f.tenant >= 0 && f.tenant < len(b.tenants) {
 		b.tenants[f.tenant]++
 	}
 }
 
+func (b *Balancer) kindOf(kind int) int { return min(max(kind, 0), len(b.Types)-1) }
+
+// usualLoad is what a connection of a service type asks; before any was seen all count the same.
+func (b *Balancer) usualLoad(kind int) float64 {
+	if t := b.typical[b.kindOf(kind)]; t > 0 {
+		return t
+	}
+	sum, n := 0.0, 0.0
+	for _, t := range b.typical {
+		if t > 0 {
+			sum, n = sum+t, n+1
+		}
+	}
+	if n > 0 {
+		return sum / n
+	}
+	return 0.02
+}
+
 func (b *Balancer) known(id int) bool { return id >= 0 && id < len(b.flows) && b.flows[id].live }
 
 // Established takes the news that a connect is up.
@@ -241,6 +270,7 @@
 	}
 	b.opened(f)
 	b.servers[f.at].good++
+	b.gate += 1 / max(b.gate, 1) // one more a round of connects, as long as none fails
 	bin := 0
 	for edge := 0.025; took > edge && bin < len(b.setups)-1; edge *= 2 {
 		bin++
@@ -297,23 +327,59 @@
 	switch {
 	case how == Full:
 		s.fullAt = now
+		return
 	case wasOpen && how == Broken:
-		s.bad += 0.5 // one break may be the server shedding; two together are its end
-	case how == Unreached, how == Broken, how == Errored:
-		s.bad++
-	case how == Unanswered:
-		s.bad += 0.5
-	case wasOpen && how == Served:
-		s.good += 0.2
+		s.bad += 0.5 // one break may be the server shedding; several together are its end
+		b.lower(now, s, 0.9)
+		return
+	case wasOpen, how == Served, how == CalledOff, how == NeverSent:
+		return
+	}
+	s.bad++
+	bad, all := 0.0, 0.0
+	for _, i := range b.base {
+		if o := &b.servers[i]; o != s {
+			bad, all = bad+o.bad, all+o.bad+o.good
+		}
 	}
-	if s.bad >= 1 && s.bad > s.good/2 && !s.aside && s.listed {
-		b.setAside(now, s, f.at)
+	common := bad / max(all, 1)
+	// Guards against a shared store or the traffic being taken for sick servers: where the others fail as well,
+	// fewer connects go out instead.
+	if how != Unreached && common > 0.2 {
+		b.close(now, common)
 	}
+	if share := s.bad / (s.bad + s.good); share > 0.2+2*common && !s.aside && s.listed {
+		b.setAside(now, s)
+	}
+}
+
+// close lowers the gate, once for all failures that were on their way together.
+func (b *Balancer) close(now, common float64) {
+	if now-b.gateAt < 0.2 {
+		return
+	}
+	if math.IsInf(b.gate, 1) || b.gate > 1e6 {
+		b.say("failures common, %.0f%% of connects: gate at %d out", 100*common, b.out)
+	}
+	b.gateAt = now
+	b.gate = max(1, 0.7*min(b.gate, float64(b.out+1)))
+}
+
+// lower puts a server's ceiling under what it holds: what is there is too much.
+func (b *Balancer) lower(now float64, s *server, by float64) {
+	if now-s.cutAt < 1 {
+		return
+	}
+	if math.IsInf(s.ceiling, 1) {
+		b.say("server %d has too much: %d connections of load %.2f", s.ID, s.held, s.work)
+	}
+	s.cutAt = now
+	s.ceiling = max(by*min(s.work, s.ceiling), 2*b.usualLoad(0))
 }
 
 // setAside takes a server out of the usable ones. Failures common to many servers point at what they share or
 // at the traffic, so no more than a third are ever out together.
-func (b *Balancer) setAside(now float64, s *server, at int) {
+func (b *Balancer) setAside(now float64, s *server) {
 	out, ready := 1, 0
 	for _, i := range b.base {
 		if b.servers[i].State == Ready {
@@ -337,7 +403,19 @@
 // LoadNote takes the load of an open connection.
 func (b *Balancer) LoadNote(id int, load float64) {
 	if b.known(id) {
-		b.flows[id].load = load
+		f := &b.flows[id]
+		if f.moved {
+			return
+		}
+		if f.out {
+			b.servers[f.at].work += load - f.load
+		}
+		f.load = load
+		t := &b.typical[b.kindOf(f.kind)]
+		if *t == 0 {
+			*t = load
+		}
+		*t += (load - *t) / 32
 	}
 }
 
@@ -347,7 +425,9 @@
 		return
 	}
 	s := &b.servers[b.flows[id].at]
-	s.delay, s.delayAt = delay, now
+	if aim := b.shortestAim(); delay > aim/2 {
+		b.lower(now, s, min(0.97, max(0.8, 1-0.05*delay/aim)))
+	}
 }
 
 // Probed takes the result of a probe.
@@ -357,8 +437,8 @@
 	}
 	s := &b.servers[at]
 	s.probing = false
-	if r.Load >= 0 {
-		s.load, s.loadAt = r.Load, now
+	if r.Load > 0.9 {
+		b.lower(now, s, max(0.8, 0.9/r.Load))
 	}
 	if !s.aside {
 		if how == Unreached || how == Unanswered || how == Broken {
@@ -381,6 +461,18 @@
 	if now >= b.beatAt-b.Tick {
 		b.beatAt = -1
 	}
+	for i := range b.servers {
+		if s := &b.servers[i]; now-s.cutAt > 1.5 && !math.IsInf(s.ceiling, 1) {
+			if s.ceiling *= 1.01; s.ceiling > 2*s.work && now-s.cutAt > 5 {
+				s.ceiling = math.Inf(1)
+				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
+			}
+		}
+	}
+	if !math.IsInf(b.gate, 1) && now-b.gateAt > 5 && b.gate > float64(4*b.out+8) {
+		b.gate = math.Inf(1)
+		b.say("gate open again, %d connects out", b.out)
+	}
 	if now < b.halveAt {
 		return
 	}
@@ -396,14 +488,6 @@
 
 // ---- the path ----
 
-// slow tells that messages at a server take too long for its connections' good: new ones would add to it.
-func (b *Balancer) slow(now float64, s *server) bool {
-	if now-s.fullAt < 1 || now-s.loadAt < noteLife && s.load > 0.95 {
-		return true
-	}
-	return now-s.delayAt < noteLife && s.delay > b.shortestAim()/2
-}
-
 func (b *Balancer) shortestAim() float64 {
 	aim := math.Inf(1)
 	for i := range b.Types {
@@ -414,29 +498,26 @@
 	return aim
 }
 
-// survey rebuilds the usable servers by id: ready, not set aside, and not pressed unless most are.
-func (b *Balancer) survey(now float64, pressedToo bool) {
+// survey rebuilds the usable servers by id: ready, not set aside and, but for a flow that may already be there,
+// with room under their ceiling for the load.
+func (b *Balancer) survey(now, load float64, mid bool) {
 	b.usable = b.usable[:0]
-	sound, calm := 0, 0
+	sound := 0
 	for _, i := range b.base {
 		if s := &b.servers[i]; s.State == Ready && !s.aside {
 			sound++
-			if !b.slow(now, s) {
-				calm++
-			}
 		}
 	}
-	most := 2*calm < sound
-	if most != b.pressed {
-		b.pressed = most
-		b.say("pressure on most servers: %v, %d of %d calm", most, calm, sound)
-	}
 	for _, i := range b.base {
 		s := &b.servers[i]
-		if s.State == Ready && (sound == 0 || !s.aside) && (most || pressedToo || !b.slow(now, s)) {
+		if s.State == Ready && (sound == 0 || !s.aside) && (mid || s.work+load <= s.ceiling && now-s.fullAt >= 1) {
 			b.usable = append(b.usable, i)
 		}
 	}
+	if none := len(b.usable) == 0 && sound > 0; none != b.crowded {
+		b.crowded = none
+		b.say("no room on any of %d servers: %v", sound, none)
+	}
 }
 
 // warmth is the share of its capacity that a server has at the least by now.
@@ -483,7 +564,7 @@
 // place walks the design's path and returns a server, or -1.
 func (b *Balancer) place(now float64, f *flow) int {
 	mid := f.midFlow && f.tries == 0
-	b.survey(now, mid)
+	b.survey(now, b.usualLoad(f.kind), mid)
 	m := len(b.usable)
 	if m == 0 {
 		return -1
@@ -543,7 +624,7 @@
 	if !f.live || !f.owed || f.out {
 		return Decision{}, false
 	}
-	if now < f.due && f.tries < b.MaxConnects {
+	if now < f.due && f.tries < b.MaxConnects && (float64(b.out) < b.gate || f.midFlow) {
 		if at := b.place(now, f); at >= 0 {
 			within := b.timeout(now, f)
 			b.hold(f, at)
@@ -562,6 +643,39 @@
 	return Decision{Do: Abort, Flow: id}, true
 }
 
+// excess finds a connection to move off a server above its ceiling: the heaviest for its service type, so that
+// no type bears it alone. One a beat for each tenth of what the server holds.
+func (b *Balancer) excess(now float64) int {
+	if b.beatAt >= 0 {
+		return -1
+	}
+	for i := range b.servers {
+		s := &b.servers[i]
+		if s.work <= s.ceiling || s.moves > s.held/10 {
+			continue
+		}
+		s.moves++
+		pick, most := -1, 0.0
+		for id := range b.flows {
+			if f := &b.flows[id]; f.live && f.open && f.at == i && !f.moved {
+				if over := f.load / b.usualLoad(f.kind); over > most {
+					pick, most = id, over
+				}
+			}
+		}
+		if pick >= 0 {
+			f := &b.flows[pick]
+			s.work -= f.load
+			f.load, f.moved = 0, true
+			return pick
+		}
+	}
+	for i := range b.servers {
+		b.servers[i].moves = 0
+	}
+	return -1
+}
+
 // Next gives the next decision, or false when there is none for now.
 func (b *Balancer) Next(now float64) (Decision, bool) {
 	for len(b.todo) > 0 {
@@ -594,6 +708,9 @@
 		s.aside = false
 		b.say("server %d back untested: no probes here", s.ID)
 	}
+	if id := b.excess(now); id >= 0 {
+		return Decision{Do: Move, Flow: id}, true
+	}
 	if b.beatAt < 0 {
 		b.beatAt = now + beat
 		return Decision{Do: Wake, Within: beat}, true
