Spilled flows walk on from their group's home instead of the next id

Cause: every server that holds any of a group pays for it; spilling by id scattered groups further. Kept: a stateless departure that every node computes alike.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -50,10 +50,11 @@
 type flow struct {
 	kind, tenant int
 	ca           uint64
-	live         bool // the index is in use
-	owed         bool // a final answer is due
-	out          bool // a connect is out
-	open         bool // established
+	home         uint64 // hash of the group, 0 without one
+	live         bool   // the index is in use
+	owed         bool   // a final answer is due
+	out          bool   // a connect is out
+	open         bool   // established
 	midFlow      bool
 	moved        bool
 	due          float64 // the final answer goes out before this
@@ -169,6 +170,12 @@
 
 func (b *Balancer) row(kind int) *ServiceType { return &b.Types[b.kindOf(kind)] }
 
+func mix(key uint64) uint64 {
+	var buf [8]byte
+	binary.BigEndian.PutUint64(buf[:], key)
+	return xxhash.Sum64(buf[:])
+}
+
 func (b *Balancer) take(id int, a Arrival) *flow {
 	for len(b.flows) <= id {
 		b.flows = append(b.flows, flow{})
@@ -179,10 +186,11 @@
 			key = math.Float64bits(b.chance())
 		}
 	}
-	var buf [8]byte
-	binary.BigEndian.PutUint64(buf[:], key)
-	b.flows[id] = flow{live: true, kind: a.Type, tenant: a.Tenant, ca: xxhash.Sum64(buf[:]), midFlow: a.MidFlow,
-		load: a.Load, at: -1, ranAt: -1}
+	b.flows[id] = flow{live: true, kind: a.Type, tenant: a.Tenant, ca: mix(key), midFlow: a.MidFlow, load: a.Load,
+		at: -1, ranAt: -1}
+	if a.Group != 0 {
+		b.flows[id].home = mix(a.Group)
+	}
 	return &b.flows[id]
 }
 
@@ -498,9 +506,8 @@
 	return aim
 }
 
-// survey rebuilds the usable servers by id: ready, not set aside and, but for a flow that may already be there,
-// with room under their ceiling for the load.
-func (b *Balancer) survey(now, load float64, mid bool) {
+// survey rebuilds the usable servers by id: ready, not set aside, not full a moment ago.
+func (b *Balancer) survey(now float64, mid bool) {
 	b.usable = b.usable[:0]
 	sound := 0
 	for _, i := range b.base {
@@ -510,14 +517,10 @@
 	}
 	for _, i := range b.base {
 		s := &b.servers[i]
-		if s.State == Ready && (sound == 0 || !s.aside) && (mid || s.work+load <= s.ceiling && now-s.fullAt >= 1) {
+		if s.State == Ready && (sound == 0 || !s.aside) && (mid || now-s.fullAt >= 1) {
 			b.usable = append(b.usable, i)
 		}
 	}
-	if none := len(b.usable) == 0 && sound > 0; none != b.crowded {
-		b.crowded = none
-		b.say("no room on any of %d servers: %v", sound, none)
-	}
 }
 
 // warmth is the share of its capacity that a server has at the least by now.
@@ -564,7 +567,7 @@
 // place walks the design's path and returns a server, or -1.
 func (b *Balancer) place(now float64, f *flow) int {
 	mid := f.midFlow && f.tries == 0
-	b.survey(now, b.usualLoad(f.kind), mid)
+	b.survey(now, mid)
 	m := len(b.usable)
 	if m == 0 {
 		return -1
@@ -579,16 +582,28 @@
 		entry = int(f.ca % uint64(m))
 	}
 	full := max(spillFloor, spillFactor*mean)
-	best, least := -1, math.Inf(1)
-	for k := range m {
-		at := b.usable[(entry+k)%m]
+	load := b.usualLoad(f.kind)
+	next := entry + 1
+	if f.home != 0 {
+		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
+	}
+	best, least, room := -1, math.Inf(1), false
+	for k := range m + 1 {
+		at := b.usable[entry]
+		if k > 0 {
+			at = b.usable[(next+k-1)%m]
+		}
 		s := &b.servers[at]
 		warm := b.warmth(now, s)
-		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
+		if mid && k == 0 && b.mayTake(now, s, warm, mean) {
+			return at
+		}
+		if s.work+load > s.ceiling {
 			continue
 		}
-		if mid && k == 0 {
-			return at
+		room = true
+		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
+			continue
 		}
 		if float64(s.held) <= full*warm && (warm >= 1 || b.chance() < warm) {
 			return at
@@ -597,6 +612,10 @@
 			best, least = at, over
 		}
 	}
+	if room == b.crowded {
+		b.crowded = !room
+		b.say("no room on any of %d servers: %v", m, b.crowded)
+	}
 	return best
 }
 
