--- a/placement/placement.go
+++ b/placement/placement.go
@@ -670,7 +670,7 @@
 	}
 	for i := range b.servers {
 		s := &b.servers[i]
-		if s.work <= s.ceiling || s.moves > s.held/10 {
+		if s.work <= 1.1*s.ceiling || s.moves > s.held/10 {
 			continue
 		}
 		s.moves++
