Lower the ceiling at a third of the shortest message aim

Cause: servers were filled past the point where they still answer most messages in time before we stopped.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -433,7 +433,7 @@
 		return
 	}
 	s := &b.servers[b.flows[id].at]
-	if aim := b.shortestAim(); delay > aim/2 {
+	if aim := b.shortestAim(); delay > aim/3 {
 		b.lower(now, s, min(0.97, max(0.8, 1-0.05*delay/aim)))
 	}
 }
