--- a/placement/placement.go
+++ b/placement/placement.go
@@ -572,11 +572,11 @@
 	if m == 0 {
 		return -1
 	}
-	mean := 0.0
+	mean, meanWork := 0.0, 0.0
 	for _, i := range b.usable {
-		mean += float64(b.servers[i].held)
+		mean += float64(b.servers[i].held) / float64(m)
+		meanWork += b.servers[i].work / float64(m)
 	}
-	mean /= float64(m)
 	entry := slices.Index(b.usable, b.base[f.ca%uint64(len(b.base))])
 	if entry < 0 {
 		entry = int(f.ca % uint64(m))
@@ -605,7 +605,7 @@
 		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
 			continue
 		}
-		if float64(s.held) <= full*warm && (warm >= 1 || b.chance() < warm) {
+		if float64(s.held) <= full*warm && s.work <= 1.25*meanWork && (warm >= 1 || b.chance() < warm) {
 			return at
 		}
 		if over := float64(s.held) / warm; over < least {
