--- a/placement/placement.go
+++ b/placement/placement.go
@@ -39,6 +39,7 @@
 	probing    bool
 	probeAt    float64
 	moves      int     // in this beat
+	told       bool    // its ceiling comes from reports
 	work       float64 // load of this balancer's connections there
 	ceiling    float64 // of work, once it was seen to be too much; infinite before
 	cutAt      float64 // when the ceiling was last lowered
@@ -445,8 +446,13 @@
 	}
 	s := &b.servers[at]
 	s.probing = false
-	if r.Load > 0.9 {
-		b.lower(now, s, max(0.8, 0.9/r.Load))
+	if r.Load > 0.3 && s.held > 3 { // the report tells what the server bears: room up to 0.85 of it
+		bears := 0.85 * s.work / r.Load
+		if math.IsInf(s.ceiling, 1) {
+			s.ceiling = bears
+		}
+		s.ceiling += (bears - s.ceiling) / 4
+		s.told = true
 	}
 	if !s.aside {
 		if how == Unreached || how == Unanswered || how == Broken {
@@ -470,7 +476,7 @@
 		b.beatAt = -1
 	}
 	for i := range b.servers {
-		if s := &b.servers[i]; now-s.cutAt > 1.5 && !math.IsInf(s.ceiling, 1) {
+		if s := &b.servers[i]; now-s.cutAt > 1.5 && !s.told && !math.IsInf(s.ceiling, 1) {
 			if s.ceiling *= 1.01; s.ceiling > 2*s.work && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
 				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
@@ -716,10 +722,13 @@
 	}
 	for i := range b.servers {
 		s := &b.servers[i]
-		if !s.aside || s.probing || now < s.probeAt || !s.listed || s.State != Ready {
+		if !s.aside && !(b.Reports && b.Probes) || s.probing || now < s.probeAt || !s.listed || s.State != Ready {
 			continue
 		}
 		s.probeAt = now + probePace*(0.75+0.5*b.chance())
+		if !s.aside {
+			s.probeAt += 0.5 * float64(b.Nodes)
+		}
 		if b.Probes {
 			s.probing = true
 			return Decision{Do: Probe, Server: i}, true
