Ceilings rise faster and mild delays cut less

Cause: a server just over a third of the aim lost room for longer than its trouble lasted. A ceiling rises 8% a second (was 4%), a note cuts 5% for each aim of delay with no least cut (was 3% at least).

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -435,7 +435,7 @@
 	}
 	s := &b.servers[b.flows[id].at]
 	if aim := b.shortestAim(); delay > aim/3 {
-		b.lower(now, s, min(0.97, max(0.8, 1-0.05*delay/aim)))
+		b.lower(now, s, max(0.8, 1-0.05*delay/aim))
 	}
 }
 
@@ -477,7 +477,7 @@
 	}
 	for i := range b.servers {
 		if s := &b.servers[i]; now-s.cutAt > 1.5 && !s.told && !math.IsInf(s.ceiling, 1) {
-			if s.ceiling *= 1.01; s.ceiling > 2*s.work && now-s.cutAt > 5 {
+			if s.ceiling *= 1.02; s.ceiling > 2*s.work && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
 				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
 			}
