Tables of cases for the path, effects, cold budget, set-aside, ceilings, list and chance

Found by them and mended: near seeds gave alike chances (the seed now goes into the hash first), and the spill by load had neither the floor of two connections nor the warmth of a cold server.

--- /dev/null
+++ b/placement/helper_test.go
@@ -0,0 +1,84 @@
+package placement
+
+// rig is a balancer with n ready servers whose ids are 100, 101, ... and whose indices run the other way.
+type rig struct {
+	*Balancer
+	now float64
+}
+
+func newRig(n int, tune func(*Rundown)) *rig {
+	r := Rundown{Seed: 7, Nodes: 2, Tick: 0.002, MaxConnects: 3, Probes: true, RetryAdvice: 2, ColdFrom: 0.2,
+		ColdFor: 10, FallMultiple: 3, FallFor: 2, Types: []ServiceType{
+			{Effect: Repeatable, SetupTarget: 0.3, MessageAim: 0.1, Value: 1}}}
+	if tune != nil {
+		tune(&r)
+	}
+	g := &rig{New(r), 1000}
+	var list []Listing
+	for i := range n {
+		list = append(list, g.entry(i, Ready))
+	}
+	g.List(g.now, ListFull, list)
+	g.pull()
+	return g
+}
+
+// entry lists the server that is i-th by id.
+func (g *rig) entry(i int, st State) Listing {
+	return Listing{Server: 20 - i, ID: uint32(100 + i), State: st, Zone: i % 2, Cell: i / 2}
+}
+
+// pull returns the decisions of now, without wakes and log lines.
+func (g *rig) pull() (out []Decision) {
+	for {
+		d, ok := g.Next(g.now)
+		if !ok {
+			return out
+		}
+		if d.Do != Wake && d.Do != Log {
+			out = append(out, d)
+		}
+	}
+}
+
+// arrive brings a flow and returns what was decided for it and, for a connect, the place by id.
+func (g *rig) arrive(id int, a Arrival) (Decision, int) {
+	if a.Left == 0 {
+		a.Left = 3
+	}
+	g.Flow(g.now, id, a)
+	for _, d := range g.pull() {
+		if d.Flow == id && d.Do <= Abort {
+			return d, 20 - d.Server
+		}
+	}
+	return Decision{Do: Log}, -1
+}
+
+// fill establishes n connections with the keys that follow from.
+func (g *rig) fill(from, n int) {
+	for id := from; id < from+n; id++ {
+		if d, _ := g.arrive(id, Arrival{Key: uint64(id + 1)}); d.Do == Connect {
+			g.Established(g.now, id, 0, 0.02)
+		}
+	}
+}
+
+// pass lets time go by in steps of the housekeeping and collects what was decided.
+func (g *rig) pass(seconds float64) (out []Decision) {
+	for end := g.now + seconds; g.now < end; {
+		g.now += beat
+		g.Woken(g.now)
+		out = append(out, g.pull()...)
+	}
+	return out
+}
+
+// keyFor finds a client key whose primary among n is the one at place.
+func keyFor(place, n int) uint64 {
+	for key := uint64(1); ; key++ {
+		if int(mix(key)%uint64(n)) == place {
+			return key
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -107,8 +107,8 @@
 // chance is even over [0, 1), from the seed and a counter.
 func (b *Balancer) chance() float64 {
 	var buf [16]byte
-	binary.LittleEndian.PutUint64(buf[:8], b.chances)
-	binary.LittleEndian.PutUint64(buf[8:], b.Seed)
+	binary.LittleEndian.PutUint64(buf[:8], b.Seed) // the counter last left near seeds alike
+	binary.LittleEndian.PutUint64(buf[8:], b.chances)
 	b.chances++
 	b.fnv.Reset()
 	b.fnv.Write(buf[:])
@@ -589,6 +589,7 @@
 	}
 	full := max(spillFloor, spillFactor*mean)
 	load := b.usualLoad(f.kind)
+	heavy := max(spillFloor*load, spillFactor*meanWork)
 	next := entry + 1
 	if f.home != 0 {
 		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
@@ -611,7 +612,7 @@
 		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
 			continue
 		}
-		if float64(s.held) <= full*warm && s.work <= 1.25*meanWork && (warm >= 1 || b.chance() < warm) {
+		if float64(s.held) <= full*warm && s.work <= heavy*warm && (warm >= 1 || b.chance() < warm) {
 			return at
 		}
 		if over := float64(s.held) / warm; over < least {
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,348 @@
+package placement
+
+import (
+	"math"
+	"testing"
+)
+
+func TestPath(t *testing.T) {
+	key := keyFor(2, 5)
+	cases := []struct {
+		name  string
+		setup func(*rig)
+		a     Arrival
+		want  int // place by id, -1 for a reject
+	}{
+		{"primary", nil, Arrival{Key: key}, 2},
+		{"draining primary: its keys are re-spread over the usable", func(g *rig) {
+			g.List(g.now, ListChanges, []Listing{g.entry(2, Draining)})
+		}, Arrival{Key: key}, []int{0, 1, 3, 4}[mix(key)%4]},
+		{"another one draining: the primary stays", func(g *rig) {
+			g.List(g.now, ListChanges, []Listing{g.entry(0, Draining)})
+		}, Arrival{Key: key}, 2},
+		{"over the cap of two: next by id", func(g *rig) { g.load(2, 3) }, Arrival{Key: key}, 3},
+		{"at the cap of two: primary", func(g *rig) { g.load(2, 2) }, Arrival{Key: key}, 2},
+		{"over the cap, in a group: the group's home", func(g *rig) { g.load(2, 3) },
+			Arrival{Key: key, Group: keyFor(0, 5)}, 0},
+		{"mid-flow skips the spill", func(g *rig) { g.load(2, 9) }, Arrival{Key: key, MidFlow: true}, 2},
+		{"mid-flow skips the ceiling", func(g *rig) { g.servers[18].ceiling = 0 }, Arrival{Key: key, MidFlow: true}, 2},
+		{"no room under its ceiling: next by id", func(g *rig) { g.servers[18].ceiling = 0 }, Arrival{Key: key}, 3},
+		{"known load over its part: next by id", func(g *rig) {
+			g.load(2, 2)
+			g.LoadNote(901, 0.1)
+			g.LoadNote(900, 5)
+		}, Arrival{Key: key}, 3},
+		{"all draining: rejected", func(g *rig) {
+			for i := range 5 {
+				g.List(g.now, ListChanges, []Listing{g.entry(i, Draining)})
+			}
+		}, Arrival{Key: key}, -1},
+		{"empty list: rejected", func(g *rig) { g.List(g.now, ListFull, nil) }, Arrival{Key: key}, -1},
+		{"no connect allowed: rejected", func(g *rig) { g.MaxConnects = 0 }, Arrival{Key: key}, -1},
+		{"without a key the group decides", nil, Arrival{Group: key}, 2},
+		{"too late for a connect: rejected", nil, Arrival{Key: key, Left: 0.003}, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(5, nil)
+			if c.setup != nil {
+				c.setup(g)
+			}
+			d, at := g.arrive(0, c.a)
+			if c.want < 0 {
+				if d.Do != Reject || d.Within <= 0 {
+					t.Fatalf("got %+v, wanted a reject with a retry time", d)
+				}
+			} else if d.Do != Connect || at != c.want {
+				t.Fatalf("got %+v at place %d, wanted place %d", d, at, c.want)
+			}
+		})
+	}
+}
+
+// load carries n connections on the server at a place.
+func (g *rig) load(place, n int) {
+	for i := range n {
+		g.Carried(g.now, 900+i, Arrival{Key: 1}, 20-place)
+	}
+}
+
+func TestEffects(t *testing.T) {
+	type row struct {
+		name   string
+		effect Effect
+		group  Group
+		how    Outcome
+		after  float64
+		want   Verb
+		same   func(a, b Listing) bool // what the further connect must share with the first
+	}
+	zone := func(a, b Listing) bool { return a.Zone == b.Zone }
+	cell := func(a, b Listing) bool { return a.Cell == b.Cell }
+	cases := []row{
+		{"referenced, by zone", Referenced, GroupZone, Unanswered, 0.1, Connect, zone},
+		{"referenced, by cell", Referenced, GroupCell, Errored, 0.1, Connect, cell},
+		{"referenced, all", Referenced, GroupAll, Broken, 0.1, Connect, nil},
+		{"referenced, all, past the memory span", Referenced, GroupAll, Broken, 1.5, Abort, nil},
+		{"referenced, by zone, past the memory span", Referenced, GroupZone, Unanswered, 1.5, Abort, nil},
+		{"referenced, by cell, never ran, late", Referenced, GroupCell, Full, 1.5, Connect, nil},
+	}
+	for _, how := range []Outcome{Errored, Full, Unanswered, Unreached, Broken, CalledOff, NeverSent} {
+		want := Abort
+		if how == Full || how == Unreached || how == NeverSent {
+			want = Connect
+		}
+		cases = append(cases, row{"once-only", OnceOnly, GroupAll, how, 0.1, want, nil},
+			row{"repeatable", Repeatable, GroupAll, how, 0.1, Connect, nil})
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(6, func(r *Rundown) {
+				r.Types[0].Effect, r.Types[0].Group, r.Types[0].MemorySpan = c.effect, c.group, 1
+			})
+			_, first := g.arrive(0, Arrival{Key: 5, Left: 4})
+			g.now += c.after
+			g.Ended(g.now, 0, 0, c.how, false)
+			out := g.pull()
+			if len(out) == 0 || out[0].Do != c.want {
+				t.Fatalf("%v after outcome %d: got %+v", c.want, c.how, out)
+			}
+			if c.want == Connect && c.same != nil && !c.same(g.entry(first, Ready), g.entry(20-out[0].Server, Ready)) {
+				t.Fatalf("further connect left the group: %d then %d", first, 20-out[0].Server)
+			}
+			g.Ended(g.now, 0, 1, Unanswered, true)
+			if again := g.pull(); c.want != Connect && len(again) > 0 && again[0].Do <= Abort {
+				t.Fatalf("something sent after the final answer: %+v", again)
+			}
+		})
+	}
+}
+
+// Every connect fails: the flow ends in one answer, in time, after the most connects allowed.
+func TestOneAnswerInTime(t *testing.T) {
+	for _, e := range []Effect{Repeatable, Referenced, OnceOnly} {
+		g := newRig(6, func(r *Rundown) { r.Types[0].Effect, r.Types[0].MemorySpan = e, 5 })
+		d, _ := g.arrive(0, Arrival{Key: 9, Left: 1.8})
+		answers, connects := 0, 0
+		for d.Do == Connect {
+			connects++
+			g.now += d.Within
+			g.Ended(g.now, 0, connects-1, Unanswered, false)
+			for _, d = range g.pull() {
+				if d.Do == Reject || d.Do == Abort {
+					answers++
+				}
+			}
+		}
+		if answers != 1 || connects > 3 || g.now >= 1001.8 || e == OnceOnly && connects > 1 {
+			t.Fatalf("effect %d: %d answers after %d connects at %.3f", e, answers, connects, g.now)
+		}
+		if !g.Idle(0) {
+			t.Fatal("the index of an ended flow is not free")
+		}
+	}
+}
+
+func TestColdServer(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		age      float64
+		least    int
+		most     int
+		mid, all bool
+	}{
+		{"just started", 0, 1, 3, false, false},
+		{"half warm", 5, 1, 12, false, false},
+		{"just started, all arrive mid-flow", 0, 1, 4, true, false},
+		{"warm", 10, 8, 40, false, false},
+		{"just started, the others full", 0, 1, 4, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(5, nil)
+			g.fill(0, 50)
+			fresh := g.entry(5, Ready)
+			fresh.Since = g.now - c.age
+			g.List(g.now, ListChanges, []Listing{fresh})
+			for i := range 5 {
+				if c.all {
+					g.servers[20-i].fullAt = g.now
+				}
+			}
+			got := 0
+			for id := 100; id < 140; id++ { // within one window: the rule's budget is for the burst
+				if d, at := g.arrive(id, Arrival{Key: keyFor(5, 6), MidFlow: c.mid}); d.Do == Connect && at == 5 {
+					got++
+				}
+			}
+			if got < c.least || got > c.most {
+				t.Fatalf("%d connects, wanted %d to %d", got, c.least, c.most)
+			}
+		})
+	}
+}
+
+func TestSetAside(t *testing.T) {
+	g := newRig(9, nil)
+	g.fill(0, 20)
+	for i := range 6 { // one server that cannot be reached
+		if d, at := g.arrive(100+i, Arrival{Key: keyFor(4, 9)}); i == 0 && at == 4 {
+			g.Ended(g.now, d.Flow, 0, Unreached, false)
+			g.pull()
+		} else if at == 4 {
+			t.Fatal("sent to a server set aside")
+		}
+	}
+	g.pass(firstHold - beat)
+	if !g.servers[16].aside {
+		t.Fatal("not set aside")
+	}
+	for probes, beats := 0, 0; probes < 2 && beats < 50; beats++ { // it comes back with its second answered probe
+		for _, d := range g.pass(0.5) {
+			if d.Do == Probe {
+				if !g.servers[16].aside {
+					t.Fatal("back too early")
+				}
+				probes++
+				g.Probed(g.now, d.Server, Served, Report{Load: -1})
+			}
+		}
+	}
+	if g.servers[16].aside {
+		t.Fatal("not back after two answers")
+	}
+	if _, at := g.arrive(200, Arrival{Key: keyFor(4, 9)}); at != 4 {
+		t.Fatal("not used after its return")
+	}
+}
+
+// A slow store fails connects everywhere: few servers are set aside, the gate lets little out, and when the
+// trouble has passed all is as before.
+func TestCommonFailures(t *testing.T) {
+	g := newRig(9, nil)
+	g.fill(0, 30)
+	refused := 0
+	for id := 100; id < 220; id++ {
+		if d, _ := g.arrive(id, Arrival{Key: uint64(id)}); d.Do == Reject {
+			refused++
+			continue
+		}
+		for try := range 3 {
+			g.now += 0.03
+			g.Ended(g.now, id, try, Errored, false)
+			g.pull()
+		}
+	}
+	aside := 0
+	for i := range g.servers {
+		if g.servers[i].aside {
+			aside++
+		}
+	}
+	if aside > 3 || math.IsInf(g.gate, 1) {
+		t.Fatalf("%d set aside, gate %g", aside, g.gate)
+	}
+	for id := 300; id < 420; id++ {
+		for _, d := range g.pass(0.25) {
+			if d.Do == Probe {
+				g.Probed(g.now, d.Server, Served, Report{Load: -1})
+			}
+		}
+		g.fill(id, 1)
+	}
+	if g.pass(60); !math.IsInf(g.gate, 1) {
+		t.Fatalf("the gate stays at %g", g.gate)
+	}
+}
+
+func TestCeiling(t *testing.T) {
+	g := newRig(3, nil)
+	g.fill(0, 30)
+	for place := range 3 {
+		for id := range g.flows {
+			if f := &g.flows[id]; f.open && f.at == 20-place {
+				g.DelayNote(g.now, id, 0.5) // five times the aim
+				break
+			}
+		}
+	}
+	if d, _ := g.arrive(50, Arrival{Key: 3}); d.Do != Reject || d.Within <= 0 {
+		t.Fatalf("got %+v, wanted a reject at once with a retry time", d)
+	}
+	moved := map[int]bool{}
+	for _, d := range g.pass(0.5) {
+		if d.Do == Move && moved[d.Flow] {
+			t.Fatal("moved twice")
+		}
+		moved[d.Flow] = d.Do == Move
+	}
+	if len(moved) == 0 || len(moved) > 12 {
+		t.Fatalf("%d moved, wanted some and never all", len(moved))
+	}
+	if g.pass(30); !math.IsInf(g.servers[20].ceiling, 1) {
+		t.Fatalf("ceiling %g stays once the trouble has passed", g.servers[20].ceiling)
+	}
+}
+
+func TestReportCeiling(t *testing.T) {
+	g := newRig(3, func(r *Rundown) { r.Reports = true })
+	g.load(1, 10)
+	for range 20 {
+		g.Probed(g.now, 19, Served, Report{Load: 1.2})
+	}
+	if _, at := g.arrive(0, Arrival{Key: keyFor(1, 3)}); at == 1 {
+		t.Fatal("sent to a server whose report tells of too much load")
+	}
+}
+
+func TestListFollowing(t *testing.T) {
+	g := newRig(3, func(r *Rundown) { r.Subscribe = true })
+	last := 0.0
+	for i := range 5 {
+		g.List(g.now, ListFailed, nil)
+		from := g.now
+		for asked := false; !asked; {
+			if g.now-from > 10 {
+				t.Fatal("never asked again")
+			}
+			for _, d := range g.pass(beat) {
+				asked = asked || d.Do == Follow
+			}
+		}
+		if gap := g.now - from; i > 0 && gap < last/4 || gap > 6.5 {
+			t.Fatalf("asked again after %.2f s, before that %.2f s", gap, last)
+		} else {
+			last = gap
+		}
+	}
+	if len(g.base) != 3 {
+		t.Fatal("a failed call lost the list")
+	}
+	g.servers[20].aside = true
+	again := g.entry(0, Ready)
+	again.Since = g.now
+	g.List(g.now, ListChanges, []Listing{again, g.entry(1, Gone)})
+	if g.servers[20].aside || len(g.base) != 2 || g.warmth(g.now, &g.servers[20]) != g.ColdFrom {
+		t.Fatal("a restart is a fresh, cold server; a server gone leaves the base list")
+	}
+}
+
+func TestChance(t *testing.T) {
+	a, b := newRig(0, nil), newRig(0, func(r *Rundown) { r.Seed = 8 })
+	var bins [10]int
+	pairs := 0
+	for range 20000 {
+		x, y := a.chance(), b.chance()
+		bins[int(x*10)]++
+		if math.Abs(x-y) < 0.1 {
+			pairs++
+		}
+	}
+	for i, n := range bins {
+		if n < 1850 || n > 2150 {
+			t.Errorf("bin %d of 10 holds %d of 20000", i, n)
+		}
+	}
+	if pairs < 3500 || pairs > 4100 {
+		t.Errorf("two seeds come close %d times of 20000, 3800 expected", pairs)
+	}
+}
