Remember the load of a client's connection for when it comes again

Cause: a moved or dropped connection came back as one of unknown load and was placed by its service type's usual one, though connections of a type differ tenfold; the heavy ones jammed one server after another.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -83,8 +83,9 @@
 	setups  [12]float64 // histogram of set-up times; bin i is up to 25 ms x 2^i
 	halveAt float64
 	beatAt  float64
-	typical []float64 // by service type: load of a connection
-	gate    float64   // most connects out at once while failures are common; infinite else
+	typical []float64          // by service type: load of a connection
+	loads   map[uint64]float64 // by client key: last known load of a connection that ended here
+	gate    float64            // most connects out at once while failures are common; infinite else
 	gateAt  float64
 	out     int     // connects out
 	crowded bool    // no usable server has room
@@ -100,7 +101,7 @@
 		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
 	}
 	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)), beatAt: -1,
-		typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99}
+		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99}
 	return b
 }
 
@@ -218,6 +219,9 @@
 	f.at, f.out = on, true
 	s := &b.servers[on]
 	s.held++
+	if f.load == 0 {
+		f.load = b.loads[f.ca]
+	}
 	if f.load == 0 {
 		f.load = b.usualLoad(f.kind)
 	}
@@ -420,6 +424,10 @@
 			b.servers[f.at].work += load - f.load
 		}
 		f.load = load
+		if len(b.loads) > 10000 {
+			clear(b.loads)
+		}
+		b.loads[f.ca] = load
 		t := &b.typical[b.kindOf(f.kind)]
 		if *t == 0 {
 			*t = load
@@ -589,6 +597,9 @@
 	}
 	full := max(spillFloor, spillFactor*mean)
 	load := b.usualLoad(f.kind)
+	if l := b.loads[f.ca]; l > 0 {
+		load = l
+	}
 	heavy := max(spillFloor*load, spillFactor*meanWork)
 	next := entry + 1
 	if f.home != 0 {
