--- a/placement/placement.go
+++ b/placement/placement.go
@@ -600,7 +600,7 @@
 	if l := b.loads[f.ca]; l > 0 {
 		load = l
 	}
-	heavy := max(spillFloor*load, spillFactor*meanWork)
+	heavy := max(spillFloor*b.usualLoad(f.kind), spillFactor*meanWork)
 	next := entry + 1
 	if f.home != 0 {
 		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
@@ -623,7 +623,7 @@
 		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
 			continue
 		}
-		if float64(s.held) <= full*warm && s.work <= heavy*warm && (warm >= 1 || b.chance() < warm) {
+		if float64(s.held) <= full*warm && s.work+load <= max(heavy*warm, load) && (warm >= 1 || b.chance() < warm) {
 			return at
 		}
 		if over := float64(s.held) / warm; over < least {
