--- a/placement/placement.go
+++ b/placement/placement.go
@@ -600,7 +600,7 @@
 	if l := b.loads[f.ca]; l > 0 {
 		load = l
 	}
-	heavy := max(spillFloor*b.usualLoad(f.kind), spillFactor*meanWork)
+	heavy := max((spillFloor+1)*b.usualLoad(f.kind), spillFactor*meanWork)
 	next := entry + 1
 	if f.home != 0 {
 		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
