--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,6 +19,7 @@
 const (
 	spillFactor = 1.25 // the least the design allows
 	spillFloor  = 2    // the design's floor: below it counts are chance
+	jamHold     = 1.5  // a delay note comes once a second while it holds
 	beat        = 0.25 // pace of housekeeping; finer than any hold below
 	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
 	firstHold   = 1.0  // a server set aside is left alone this long, doubled each time it comes back to fail
@@ -39,6 +40,7 @@
 	probing    bool
 	probeAt    float64
 	moves      int     // in this beat
+	jamAt      float64 // last seen deep in a jam: it takes nothing new for a while
 	told       bool    // its ceiling comes from reports
 	work       float64 // load of this balancer's connections there
 	ceiling    float64 // of work, once it was seen to be too much; infinite before
@@ -120,7 +122,9 @@
 	b.asks = append(b.asks, Decision{Do: Log, Line: fmt.Sprintf(format, args...)})
 }
 
-func unknown() server { return server{hold: firstHold, ceiling: math.Inf(1), cutAt: -99, fullAt: -99} }
+func unknown() server {
+	return server{hold: firstHold, ceiling: math.Inf(1), cutAt: -99, fullAt: -99, jamAt: -99}
+}
 
 // ---- the list ----
 
@@ -443,6 +447,9 @@
 	}
 	s := &b.servers[b.flows[id].at]
 	if aim := b.shortestAim(); delay > aim/3 {
+		if delay > aim {
+			s.jamAt = now
+		}
 		b.lower(now, s, max(0.8, 1-0.05*delay/aim))
 	}
 }
@@ -616,7 +623,7 @@
 		if mid && k == 0 && b.mayTake(now, s, warm, mean) {
 			return at
 		}
-		if s.work+load > s.ceiling {
+		if s.work+load > s.ceiling || now-s.jamAt < jamHold {
 			continue
 		}
 		room = true
