Members over their share give way first; report ceilings age once reports stop

A member that holds more here than this node's part of its share leaves a fifth of the room and is moved first. A ceiling set by a report could stay low for good on a server with few connections: it rises again once no report has come for 4 s. The rest is the same module in fewer lines.

--- a/internal/lbwire/settings.go
+++ b/internal/lbwire/settings.go
@@ -10,10 +10,8 @@
 
 // start is the settings object of a start; keys not named here are skipped.
 type start struct {
-	Family     string `json:"family"`
 	FamilyInfo struct {
 		MessageAim []float64 `json:"message_aim_us"`
-		Mode       string    `json:"mode"`
 		Quotas     []float64 `json:"tenant_quota_connections"`
 	} `json:"family_info"`
 	Tick       float64 `json:"granularity_us"`
@@ -39,10 +37,8 @@
 		Group       string  `json:"group"`
 		MemorySpan  float64 `json:"memory_span_us"`
 		SetupTarget float64 `json:"setup_target_us"`
-		Value       float64 `json:"value"`
 	} `json:"service_types"`
 	Siblings float64 `json:"siblings"`
-	Zone     float64 `json:"zone"`
 }
 
 var effects = map[string]placement.Effect{"repeatable": placement.Repeatable, "by_key": placement.Referenced,
@@ -60,19 +56,19 @@
 		return placement.Rundown{}, nil, fmt.Errorf("settings: %w", err)
 	}
 	r := placement.Rundown{
-		Seed: seed, Nodes: whole(s.Siblings), Tick: span(s.Tick), Zone: whole(s.Zone),
+		Seed: seed, Nodes: whole(s.Siblings), Tick: span(s.Tick),
 		MaxConnects: whole(s.Limits.MaxConnects), Probes: s.Limits.Probes, Subscribe: s.Membership == "subscribe",
 		ColdFrom: s.Invariants.ColdFrom, ColdFor: span(s.Invariants.ColdFor),
 		FallMultiple: s.Invariants.FallMultiple, FallFor: span(s.Invariants.FallFor),
-		Reports:     s.Reporting.Source == "on_probe",
-		PassThrough: s.FamilyInfo.Mode == "pass", Quotas: s.FamilyInfo.Quotas,
+		Reports: s.Reporting.Source == "on_probe",
+		Quotas:  s.FamilyInfo.Quotas,
 	}
 	if s.Limits.RetryAfter {
 		r.RetryAdvice = span(s.Limits.MaxRetryAfter)
 	}
 	for i, t := range s.Types {
 		row := placement.ServiceType{Effect: effects[t.Effect], Group: groups[t.Group],
-			MemorySpan: span(t.MemorySpan), SetupTarget: span(t.SetupTarget), Value: t.Value}
+			MemorySpan: span(t.MemorySpan), SetupTarget: span(t.SetupTarget)}
 		if i < len(s.FamilyInfo.MessageAim) {
 			row.MessageAim = span(s.FamilyInfo.MessageAim[i])
 		}
--- a/placement/helper_test.go
+++ b/placement/helper_test.go
@@ -9,7 +9,7 @@
 func newRig(n int, tune func(*Rundown)) *rig {
 	r := Rundown{Seed: 7, Nodes: 2, Tick: 0.002, MaxConnects: 3, Probes: true, RetryAdvice: 2, ColdFrom: 0.2,
 		ColdFor: 10, FallMultiple: 3, FallFor: 2, Types: []ServiceType{
-			{Effect: Repeatable, SetupTarget: 0.3, MessageAim: 0.1, Value: 1}}}
+			{Effect: Repeatable, SetupTarget: 0.3, MessageAim: 0.1}}}
 	if tune != nil {
 		tune(&r)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,69 +31,59 @@
 	Listing
 	listed     bool
 	held       int     // this balancer's connections and connects out
-	bad        float64 // failures of late
-	good       float64 // connects established of late
+	work       float64 // their load
+	ceiling    float64 // of work, once it was seen to be too much; infinite before
+	cutAt      float64 // when the ceiling was last lowered, and when a report last set it
+	toldAt     float64
+	jamAt      float64 // last seen in a jam, and last turned a connect away: it takes nothing new for a while
+	fullAt     float64
+	bad, good  float64 // failures and connects established of late
 	aside      bool
-	until      float64 // not probed before
-	hold       float64 // the next hold
+	hold       float64 // for how long it is set aside next time
 	answers    int     // probes answered in a row
 	probing    bool
 	probeAt    float64
 	moves      int     // in this beat
-	jamAt      float64 // last seen deep in a jam: it takes nothing new for a while
-	told       bool    // its ceiling comes from reports
-	work       float64 // load of this balancer's connections there
-	ceiling    float64 // of work, once it was seen to be too much; infinite before
-	cutAt      float64 // when the ceiling was last lowered
-	fullAt     float64 // last turned a connect away
 	spent      float64 // connects sent in the current cold window
 	windowFrom float64
 }
 
 type flow struct {
-	kind, tenant int
-	ca           uint64
-	home         uint64 // hash of the group, 0 without one
-	live         bool   // the index is in use
-	owed         bool   // a final answer is due
-	out          bool   // a connect is out
-	open         bool   // established
-	midFlow      bool
-	moved        bool
-	due          float64 // the final answer goes out before this
-	load         float64
-	at           int // server of the current connect or connection, -1 before the first
-	tries        int
-	tried        uint64  // servers asked already, by index mod 64
-	ranAt        float64 // when the first connect that may have run was sent, -1 for none
-	ranOn        int
-	sentAt       float64
+	kind, tenant     int
+	ca, home         uint64 // hashes of the client key and of the group, 0 without one
+	live, owed       bool   // the index is in use; a final answer is due
+	out, open        bool   // a connect is out, or the connection it became; established
+	midFlow, moved   bool
+	due, sentAt      float64 // the final answer goes out before due
+	load             float64
+	at, ranOn, tries int     // at: server of the current connect or connection, -1 before the first
+	tried            uint64  // servers asked already, by index mod 64
+	ranAt            float64 // when the first connect that may have run was sent, -1 for none; ranOn: where
 }
 
 // Balancer is one instance; nothing is shared between instances.
 type Balancer struct {
 	Rundown
-	servers []server
-	flows   []flow
-	base    []int // every listed server by id
-	usable  []int // rebuilt for each decision: the ones that take new flows now
-	todo    []int // flows that await a decision
-	asks    []Decision
-	chances uint64
-	fnv     hash.Hash64
-	tenants []int
-	setups  [12]float64 // histogram of set-up times; bin i is up to 25 ms x 2^i
-	halveAt float64
-	beatAt  float64
-	typical []float64          // by service type: load of a connection
-	loads   map[uint64]float64 // by client key: last known load of a connection that ended here
-	gate    float64            // most connects out at once while failures are common; infinite else
-	gateAt  float64
-	out     int     // connects out
-	crowded bool    // no usable server has room
-	follows bool    // a subscription stands or is asked for
-	askAt   float64 // when to ask for the list (again)
-	askGap  float64
+	servers         []server
+	flows           []flow
+	base            []int // every listed server by id
+	usable          []int // rebuilt for each decision: the ones that take new flows now
+	todo            []int // flows that await a decision
+	asks            []Decision
+	chances         uint64
+	fnv             hash.Hash64
+	tenants         []int
+	setups          [12]float64 // histogram of set-up times; bin i is up to 25 ms x 2^i
+	halveAt, beatAt float64
+	typical         []float64          // by service type: load of a connection
+	loads           map[uint64]float64 // by client key: last known load of a connection that ended here
+	gate            float64            // most connects out at once while failures are common; infinite else
+	gateAt          float64
+	aim             float64 // the shortest for a message
+	out             int     // connects out
+	crowded         bool    // no usable server has room
+	follows         bool    // a subscription stands or is asked for
+	askAt, askGap   float64 // when to ask for the list (again)
 }
 
 // New gives an instance that knows nothing but its rundown.
@@ -103,7 +93,13 @@
 		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
 	}
 	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)), beatAt: -1,
-		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99}
+		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99,
+		aim: math.Inf(1)}
+	for _, t := range r.Types {
+		if t.MessageAim > 0 {
+			b.aim = min(b.aim, t.MessageAim)
+		}
+	}
 	return b
 }
 
@@ -123,7 +119,14 @@
 }
 
 func unknown() server {
-	return server{hold: firstHold, ceiling: math.Inf(1), cutAt: -99, fullAt: -99, jamAt: -99}
+	return server{hold: firstHold, ceiling: math.Inf(1), toldAt: -99, cutAt: -99, fullAt: -99, jamAt: -99}
+}
+
+func (b *Balancer) server(at int) *server {
+	for len(b.servers) <= at {
+		b.servers = append(b.servers, unknown())
+	}
+	return &b.servers[at]
 }
 
 // ---- the list ----
@@ -147,10 +150,7 @@
 	}
 	before := len(b.base)
 	for _, it := range items {
-		for len(b.servers) <= it.Server {
-			b.servers = append(b.servers, unknown())
-		}
-		s := &b.servers[it.Server]
+		s := b.server(it.Server)
 		if it.Since != s.Since { // a fresh process: what was known of the old one is void
 			held, work, probing := s.held, s.work, s.probing
 			*s = unknown()
@@ -174,8 +174,6 @@
 
 // ---- flows ----
 
-func (b *Balancer) row(kind int) *ServiceType { return &b.Types[b.kindOf(kind)] }
-
 func mix(key uint64) uint64 {
 	var buf [8]byte
 	binary.BigEndian.PutUint64(buf[:], key)
@@ -192,8 +190,8 @@
 			key = math.Float64bits(b.chance())
 		}
 	}
-	b.flows[id] = flow{live: true, kind: a.Type, tenant: a.Tenant, ca: mix(key), midFlow: a.MidFlow, load: a.Load,
-		at: -1, ranAt: -1}
+	b.flows[id] = flow{live: true, kind: min(max(a.Type, 0), len(b.Types)-1), tenant: max(a.Tenant, 0),
+		ca: mix(key), midFlow: a.MidFlow, load: a.Load, at: -1, ranAt: -1}
 	if a.Group != 0 {
 		b.flows[id].home = mix(a.Group)
 	}
@@ -217,18 +215,10 @@
 }
 
 func (b *Balancer) hold(f *flow, on int) {
-	for len(b.servers) <= on {
-		b.servers = append(b.servers, unknown())
-	}
+	s := b.server(on)
 	f.at, f.out = on, true
-	s := &b.servers[on]
 	s.held++
-	if f.load == 0 {
-		f.load = b.loads[f.ca]
-	}
-	if f.load == 0 {
-		f.load = b.usualLoad(f.kind)
-	}
+	f.load = b.loadOf(f)
 	s.work += f.load
 	b.out++
 }
@@ -241,7 +231,7 @@
 		b.out--
 	}
 	f.out = false
-	if f.open && f.tenant >= 0 && f.tenant < len(b.tenants) {
+	if f.open && f.tenant < len(b.tenants) {
 		b.tenants[f.tenant]--
 	}
 	f.open = false
@@ -250,16 +240,14 @@
 func (b *Balancer) opened(f *flow) {
 	f.open, f.owed = true, false
 	b.out--
-	if f.tenant >= 0 && f.tenant < len(b.tenants) {
+	if f.tenant < len(b.tenants) {
 		b.tenants[f.tenant]++
 	}
 }
 
-func (b *Balancer) kindOf(kind int) int { return min(max(kind, 0), len(b.Types)-1) }
-
 // usualLoad is what a connection of a service type asks; before any was seen all count the same.
 func (b *Balancer) usualLoad(kind int) float64 {
-	if t := b.typical[b.kindOf(kind)]; t > 0 {
+	if t := b.typical[kind]; t > 0 {
 		return t
 	}
 	sum, n := 0.0, 0.0
@@ -274,6 +262,22 @@
 	return 0.02
 }
 
+// loadOf is what a flow is expected to ask: what its client asked last, what was told, or its type's usual load.
+func (b *Balancer) loadOf(f *flow) float64 {
+	if l := b.loads[f.ca]; l > 0 {
+		return l
+	}
+	if f.load > 0 {
+		return f.load
+	}
+	return b.usualLoad(f.kind)
+}
+
+// overShare tells whether a member holds more here than this node's part of its share.
+func (b *Balancer) overShare(tenant int) bool {
+	return tenant < len(b.tenants) && float64(b.tenants[tenant]*b.Nodes) > b.Quotas[tenant]
+}
+
 func (b *Balancer) known(id int) bool { return id >= 0 && id < len(b.flows) && b.flows[id].live }
 
 // Established takes the news that a connect is up.
@@ -410,11 +414,10 @@
 		return
 	}
 	s.aside, s.answers = true, 0
-	s.until = now + s.hold
-	s.hold = min(2*s.hold, longestHold)
-	s.probeAt = s.until
-	b.say("server %d set aside for %.1f s: %.1f failures to %.1f established, %d of %d out", s.ID, s.until-now,
+	b.say("server %d set aside for %.1f s: %.1f failures to %.1f established, %d of %d out", s.ID, s.hold,
 		s.bad, s.good, out, ready)
+	s.probeAt = now + s.hold
+	s.hold = min(2*s.hold, longestHold)
 }
 
 // LoadNote takes the load of an open connection.
@@ -432,7 +435,7 @@
 			clear(b.loads)
 		}
 		b.loads[f.ca] = load
-		t := &b.typical[b.kindOf(f.kind)]
+		t := &b.typical[f.kind]
 		if *t == 0 {
 			*t = load
 		}
@@ -446,7 +449,7 @@
 		return
 	}
 	s := &b.servers[b.flows[id].at]
-	if aim := b.shortestAim(); delay > aim/3 {
+	if aim := b.aim; delay > aim/3 {
 		if delay > aim {
 			s.jamAt = now
 		}
@@ -467,7 +470,7 @@
 			s.ceiling = bears
 		}
 		s.ceiling += (bears - s.ceiling) / 4
-		s.told = true
+		s.toldAt = now
 	}
 	if !s.aside {
 		if how == Unreached || how == Unanswered || how == Broken {
@@ -491,7 +494,7 @@
 		b.beatAt = -1
 	}
 	for i := range b.servers {
-		if s := &b.servers[i]; now-s.cutAt > 1.5 && !s.told && !math.IsInf(s.ceiling, 1) {
+		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > 4 && !math.IsInf(s.ceiling, 1) {
 			if s.ceiling *= 1.02; s.ceiling > 2*s.work && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
 				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
@@ -517,16 +520,6 @@
 
 // ---- the path ----
 
-func (b *Balancer) shortestAim() float64 {
-	aim := math.Inf(1)
-	for i := range b.Types {
-		if a := b.Types[i].MessageAim; a > 0 {
-			aim = min(aim, a)
-		}
-	}
-	return aim
-}
-
 // survey rebuilds the usable servers by id: ready, not set aside, not full a moment ago.
 func (b *Balancer) survey(now float64, mid bool) {
 	b.usable = b.usable[:0]
@@ -567,7 +560,7 @@
 
 // lawful tells whether a further connect of f may go to server at: no effect twice.
 func (b *Balancer) lawful(now float64, f *flow, at int) bool {
-	t := b.row(f.kind)
+	t := &b.Types[f.kind]
 	if f.ranAt < 0 || t.Effect == Repeatable {
 		return true
 	}
@@ -580,7 +573,7 @@
 
 // rejectable tells whether the client may be told that a retry is safe.
 func (b *Balancer) rejectable(now float64, f *flow, away float64) bool {
-	t := b.row(f.kind)
+	t := &b.Types[f.kind]
 	return f.ranAt < 0 || t.Effect == Repeatable ||
 		t.Effect == Referenced && t.Group == GroupAll && now+away < f.ranAt+t.MemorySpan
 }
@@ -603,15 +596,16 @@
 		entry = int(f.ca % uint64(m))
 	}
 	full := max(spillFloor, spillFactor*mean)
-	load := b.usualLoad(f.kind)
-	if l := b.loads[f.ca]; l > 0 {
-		load = l
-	}
+	load := b.loadOf(f)
 	heavy := max((spillFloor+1)*b.usualLoad(f.kind), spillFactor*meanWork)
 	next := entry + 1
 	if f.home != 0 {
 		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
 	}
+	spare := 1.0
+	if b.overShare(f.tenant) {
+		spare = 0.8 // what is scarce goes first to members within their share
+	}
 	best, least, room := -1, math.Inf(1), false
 	for k := range m + 1 {
 		at := b.usable[entry]
@@ -623,7 +617,7 @@
 		if mid && k == 0 && b.mayTake(now, s, warm, mean) {
 			return at
 		}
-		if s.work+load > s.ceiling || now-s.jamAt < jamHold {
+		if s.work+load > spare*s.ceiling || now-s.jamAt < jamHold {
 			continue
 		}
 		room = true
@@ -647,7 +641,7 @@
 // timeout splits what is left before the connect timeout, so that a further connect fits.
 func (b *Balancer) timeout(now float64, f *flow) float64 {
 	left := f.due - now
-	if f.tries+1 >= b.MaxConnects || b.row(f.kind).Effect == OnceOnly {
+	if f.tries+1 >= b.MaxConnects || b.Types[f.kind].Effect == OnceOnly {
 		return left
 	}
 	all, seen, usual := 0.0, 0.0, 0.025
@@ -660,7 +654,7 @@
 			break
 		}
 	}
-	return min(left, max(b.row(f.kind).SetupTarget, 3*usual, left/2))
+	return min(left, max(b.Types[f.kind].SetupTarget, 3*usual, left/2))
 }
 
 func (b *Balancer) settle(now float64, id int) (Decision, bool) {
@@ -702,7 +696,11 @@
 		pick, most := -1, 0.0
 		for id := range b.flows {
 			if f := &b.flows[id]; f.live && f.open && f.at == i && !f.moved {
-				if over := f.load / b.usualLoad(f.kind); over > most {
+				over := f.load / b.usualLoad(f.kind)
+				if b.overShare(f.tenant) {
+					over *= 10
+				}
+				if over > most {
 					pick, most = id, over
 				}
 			}
--- a/placement/types.go
+++ b/placement/types.go
@@ -25,7 +25,6 @@
 	MemorySpan  float64 // how long repeats are dropped, from the first send that may have run
 	SetupTarget float64
 	MessageAim  float64 // how long a message may take on an open connection; 0 where not told
-	Value       float64
 }
 
 // Rundown is what a balancer reads at its start.
@@ -33,7 +32,6 @@
 	Seed         uint64
 	Nodes        int     // balancers that share the fleet, this one included
 	Tick         float64 // shortest gap between two rounds of inputs
-	Zone         int
 	MaxConnects  int
 	Probes       bool
 	RetryAdvice  float64 // longest retry time a client follows; 0 where none is allowed
@@ -43,7 +41,6 @@
 	ColdFor      float64 // warm after this at the latest
 	FallMultiple float64 // a cold server sent more than this many times what it can do ...
 	FallFor      float64 // ... for this long falls over
-	PassThrough  bool    // connections outlive the balancer and may arrive mid-flow
 	Types        []ServiceType
 	Quotas       []float64 // by member: open connections within its share, over all nodes; nil if none
 }
