--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,7 +1,7 @@
 // Package placement takes every decision of the balancer. The host passes what it sees to the inputs (List,
-// Flow, Carried, Established, Ended, Left, LoadNote, DelayNote, Probed, Woken), which only update what is known,
-// and then pulls decisions one by one with Next until there is none. The plain types are in types.go; flows and
-// servers are small indices given out at the door (internal/lbwire). Times are seconds on the host's clock.
+// Flow, Carried, Established, Ended, Left, LoadNote, DelayNote, Probed, Woken), which only update what is
+// known, and then pulls decisions one by one with Next until there is none. The plain types are in types.go;
+// flows and servers are small indices given out at the door (internal/lbwire); times are seconds.
 package placement
 
 import (
@@ -262,7 +262,7 @@
 	return 0.02
 }
 
-// loadOf is what a flow is expected to ask: what its client asked last, what was told, or its type's usual load.
+// loadOf is what a flow is expected to ask: what its client asked last, what was told, or what is usual.
 func (b *Balancer) loadOf(f *flow) float64 {
 	if l := b.loads[f.ca]; l > 0 {
 		return l
@@ -568,7 +568,8 @@
 		return false
 	}
 	was, to := &b.servers[f.ranOn], &b.servers[at]
-	return t.Group == GroupAll || t.Group == GroupZone && was.Zone == to.Zone || t.Group == GroupCell && was.Cell == to.Cell
+	return t.Group == GroupAll || t.Group == GroupZone && was.Zone == to.Zone ||
+		t.Group == GroupCell && was.Cell == to.Cell
 }
 
 // rejectable tells whether the client may be told that a retry is safe.
