--- a/placement/placement.go
+++ b/placement/placement.go
@@ -493,9 +493,11 @@
 	if now >= b.beatAt-b.Tick {
 		b.beatAt = -1
 	}
+	// A ceiling is dropped only once far above what any server bears: dropped as soon as a server was empty, it
+	// let all nodes rush in together and jam it again.
 	for i := range b.servers {
 		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > 4 && !math.IsInf(s.ceiling, 1) {
-			if s.ceiling *= 1.02; s.ceiling > 2*s.work && now-s.cutAt > 5 {
+			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, 64*b.usualLoad(0)) && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
 				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
 			}
