--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,6 +19,7 @@
 const (
 	spillFactor = 1.25 // the least the design allows
 	spillFloor  = 2    // the design's floor: below it counts are chance
+	reportLife  = 4    // two or three reports missed
 	jamHold     = 1.5  // a delay note comes once a second while it holds
 	beat        = 0.25 // pace of housekeeping; finer than any hold below
 	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
@@ -81,6 +82,7 @@
 	gateAt          float64
 	aim             float64 // the shortest for a message
 	out             int     // connects out
+	scarce          float64 // share of flows of late that found no room
 	crowded         bool    // no usable server has room
 	follows         bool    // a subscription stands or is asked for
 	askAt, askGap   float64 // when to ask for the list (again)
@@ -250,16 +252,7 @@
 	if t := b.typical[kind]; t > 0 {
 		return t
 	}
-	sum, n := 0.0, 0.0
-	for _, t := range b.typical {
-		if t > 0 {
-			sum, n = sum+t, n+1
-		}
-	}
-	if n > 0 {
-		return sum / n
-	}
-	return 0.02
+	return 0.02 // any figure does: it is only compared with itself
 }
 
 // loadOf is what a flow is expected to ask: what its client asked last, what was told, or what is usual.
@@ -313,9 +306,6 @@
 		if !proved && f.ranAt < 0 {
 			f.ranAt, f.ranOn = f.sentAt, f.at
 		}
-		if wasOpen {
-			f.owed = false
-		}
 	}
 	if over || how == Served {
 		f.owed = false
@@ -379,7 +369,7 @@
 	if now-b.gateAt < 0.2 {
 		return
 	}
-	if math.IsInf(b.gate, 1) || b.gate > 1e6 {
+	if math.IsInf(b.gate, 1) {
 		b.say("failures common, %.0f%% of connects: gate at %d out", 100*common, b.out)
 	}
 	b.gateAt = now
@@ -422,11 +412,8 @@
 
 // LoadNote takes the load of an open connection.
 func (b *Balancer) LoadNote(id int, load float64) {
-	if b.known(id) {
+	if b.known(id) && !b.flows[id].moved {
 		f := &b.flows[id]
-		if f.moved {
-			return
-		}
 		if f.out {
 			b.servers[f.at].work += load - f.load
 		}
@@ -435,11 +422,12 @@
 			clear(b.loads)
 		}
 		b.loads[f.ca] = load
-		t := &b.typical[f.kind]
-		if *t == 0 {
-			*t = load
+		for k := range b.typical {
+			if b.typical[k] == 0 { // the first note stands for all types until their own come
+				b.typical[k] = load
+			}
 		}
-		*t += (load - *t) / 32
+		b.typical[f.kind] += (load - b.typical[f.kind]) / 32
 	}
 }
 
@@ -496,7 +484,7 @@
 	// A ceiling is dropped only once far above what any server bears: dropped as soon as a server was empty, it
 	// let all nodes rush in together and jam it again.
 	for i := range b.servers {
-		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > 4 && !math.IsInf(s.ceiling, 1) {
+		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > reportLife && !math.IsInf(s.ceiling, 1) {
 			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, 64*b.usualLoad(0)) && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
 				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
@@ -522,19 +510,17 @@
 
 // ---- the path ----
 
-// survey rebuilds the usable servers by id: ready, not set aside, not full a moment ago.
+// survey rebuilds the usable servers by id: ready, not just full and, if that leaves any, not set aside.
 func (b *Balancer) survey(now float64, mid bool) {
-	b.usable = b.usable[:0]
-	sound := 0
-	for _, i := range b.base {
-		if s := &b.servers[i]; s.State == Ready && !s.aside {
-			sound++
+	for _, asideToo := range [2]bool{false, true} {
+		b.usable = b.usable[:0]
+		for _, i := range b.base {
+			if s := &b.servers[i]; s.State == Ready && (asideToo || !s.aside) && (mid || now-s.fullAt >= 1) {
+				b.usable = append(b.usable, i)
+			}
 		}
-	}
-	for _, i := range b.base {
-		s := &b.servers[i]
-		if s.State == Ready && (sound == 0 || !s.aside) && (mid || now-s.fullAt >= 1) {
-			b.usable = append(b.usable, i)
+		if len(b.usable) > 0 {
+			return
 		}
 	}
 }
@@ -548,8 +534,8 @@
 	return b.ColdFrom + (1-b.ColdFrom)*max(age, 0)/b.ColdFor
 }
 
-// mayTake is this node's part of the budget of a cold server: what a warm server's connections, spread over the
-// warm-up, let it take in one window, times its warmth.
+// mayTake is this node's part of the budget of a cold server: what a warm server's connections, spread over
+// the warm-up, let it take in one window, times its warmth.
 func (b *Balancer) mayTake(now float64, s *server, warm, mean float64) bool {
 	if warm >= 1 {
 		return true
@@ -609,6 +595,10 @@
 	if b.overShare(f.tenant) {
 		spare = 0.8 // what is scarce goes first to members within their share
 	}
+	fits := load // scarce room is kept for a heavy flow too: light ones alone would fill every gap
+	for k := range b.Types {
+		fits = max(fits, 1*b.scarce*b.usualLoad(k))
+	}
 	best, least, room := -1, math.Inf(1), false
 	for k := range m + 1 {
 		at := b.usable[entry]
@@ -620,23 +610,32 @@
 		if mid && k == 0 && b.mayTake(now, s, warm, mean) {
 			return at
 		}
-		if s.work+load > spare*s.ceiling || now-s.jamAt < jamHold {
+		need := fits
+		if now-s.toldAt < reportLife {
+			need = load // a ceiling from reports is exact enough to fill
+		}
+		if s.work+need > spare*s.ceiling || now-s.jamAt < jamHold {
 			continue
 		}
 		room = true
 		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
 			continue
 		}
-		if float64(s.held) <= full*warm && s.work+load <= max(heavy*warm, load) && (warm >= 1 || b.chance() < warm) {
+		if float64(s.held) <= full*warm && s.work+load <= max(heavy*warm, load) &&
+			(warm >= 1 || b.chance() < warm) {
 			return at
 		}
 		if over := float64(s.held) / warm; over < least {
 			best, least = at, over
 		}
 	}
-	if room == b.crowded {
-		b.crowded = !room
-		b.say("no room on any of %d servers: %v", m, b.crowded)
+	b.scarce *= 0.97
+	if !room {
+		b.scarce += 0.03
+	}
+	if b.scarce > 0.3 && !b.crowded || b.scarce < 0.05 && b.crowded {
+		b.crowded = !b.crowded
+		b.say("room scarce: %v, %.0f%% of flows of late found none on %d servers", b.crowded, 100*b.scarce, m)
 	}
 	return best
 }
@@ -662,7 +661,7 @@
 
 func (b *Balancer) settle(now float64, id int) (Decision, bool) {
 	f := &b.flows[id]
-	if !f.live || !f.owed || f.out {
+	if !f.owed || f.out {
 		return Decision{}, false
 	}
 	if now < f.due && f.tries < b.MaxConnects && (float64(b.out) < b.gate || f.midFlow) {
@@ -684,8 +683,8 @@
 	return Decision{Do: Abort, Flow: id}, true
 }
 
-// excess finds a connection to move off a server above its ceiling: the heaviest for its service type, so that
-// no type bears it alone. One a beat for each tenth of what the server holds.
+// excess finds a connection to move off a server above its ceiling: the heaviest for its service type, so
+// that no type bears it alone. One a beat for each tenth of what the server holds.
 func (b *Balancer) excess(now float64) int {
 	if b.beatAt >= 0 {
 		return -1
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -286,6 +286,22 @@
 	}
 }
 
+// Where most find no room, a gap too small for the heaviest service type is not given to light flows alone.
+func TestScarceRoom(t *testing.T) {
+	for _, c := range []struct {
+		scarce float64
+		want   Verb
+	}{{0, Connect}, {0.9, Reject}} {
+		g := newRig(1, func(r *Rundown) { r.Types = append(r.Types, r.Types[0]) })
+		g.load(0, 1)
+		g.typical, g.scarce = []float64{0.1, 1}, c.scarce
+		g.servers[20].work, g.servers[20].ceiling = 1, 1.5
+		if d, _ := g.arrive(0, Arrival{Key: 1}); d.Do != c.want {
+			t.Errorf("scarce %.1f: got %+v", c.scarce, d)
+		}
+	}
+}
+
 func TestReportCeiling(t *testing.T) {
 	g := newRig(3, func(r *Rundown) { r.Reports = true })
 	g.load(1, 10)
