--- a/internal/lbwire/link.go
+++ b/internal/lbwire/link.go
@@ -182,16 +182,10 @@
 }
 
 func (in *instance) report(rec []byte) placement.Report {
-	r := placement.Report{Load: -1, Errors: -1, Rate: -1}
+	r := placement.Report{Load: -1}
 	for i := range min(int(rec[0]), len(in.fields), 4) {
-		v := float64(math.Float32frombits(be.Uint32(rec[1+4*i:])))
-		switch in.fields[i] {
-		case "x0":
-			r.Load = v
-		case "err_rps":
-			r.Errors = v
-		case "rps":
-			r.Rate = v
+		if in.fields[i] == "x0" {
+			r.Load = float64(math.Float32frombits(be.Uint32(rec[1+4*i:])))
 		}
 	}
 	return r
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -355,8 +355,8 @@
 	}
 	common := bad / max(all, 1)
 	// Guards against a shared store or the traffic being taken for sick servers: where the others fail as well,
-	// fewer connects go out instead.
-	if how != Unreached && common > 0.2 {
+	// in one of twenty, well over what sound servers do, fewer connects go out instead.
+	if how != Unreached && common > 0.05 {
 		b.close(now, common)
 	}
 	if share := s.bad / (s.bad + s.good); share > 0.2+2*common && !s.aside && s.listed {
--- a/placement/types.go
+++ b/placement/types.go
@@ -97,12 +97,8 @@
 	NeverSent          // never left this node
 )
 
-// Report is what a probe or an outcome told of a server's load; fields not told are negative.
-type Report struct {
-	Load   float64 // load asked over what it can do
-	Errors float64 // errors a second
-	Rate   float64 // flows a second
-}
+// Report is what a probe told of a server: load asked over what it can do, negative where it was not told.
+type Report struct{ Load float64 }
 
 // Verb is what a decision asks the host to do.
 type Verb uint8
