--- a/placement/placement.go
+++ b/placement/placement.go
@@ -340,8 +340,8 @@
 		s.fullAt = now
 		return
 	case wasOpen && how == Broken:
-		s.bad += 0.5 // one break may be the server shedding; several together are its end
-		b.lower(now, s, 0.9)
+		s.bad += 0.5         // one break may be the server shedding; several together are its end
+		b.lower(now, s, 0.9) // 0.97 measured alike
 		return
 	case wasOpen, how == Served, how == CalledOff, how == NeverSent:
 		return
@@ -366,26 +366,26 @@
 
 // close lowers the gate, once for all failures that were on their way together.
 func (b *Balancer) close(now, common float64) {
-	if now-b.gateAt < 0.2 {
+	if now-b.gateAt < 0.2 { // failures already on their way when it was last lowered
 		return
 	}
 	if math.IsInf(b.gate, 1) {
 		b.say("failures common, %.0f%% of connects: gate at %d out", 100*common, b.out)
 	}
 	b.gateAt = now
-	b.gate = max(1, 0.7*min(b.gate, float64(b.out+1)))
+	b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 }
 
 // lower puts a server's ceiling under what it holds: what is there is too much.
 func (b *Balancer) lower(now float64, s *server, by float64) {
-	if now-s.cutAt < 1 {
+	if now-s.cutAt < 1 { // delay notes come once a second
 		return
 	}
 	if math.IsInf(s.ceiling, 1) {
 		b.say("server %d has too much: %d connections of load %.2f", s.ID, s.held, s.work)
 	}
 	s.cutAt = now
-	s.ceiling = max(by*min(s.work, s.ceiling), 2*b.usualLoad(0))
+	s.ceiling = max(by*min(s.work, s.ceiling), 2*b.usualLoad(0)) // lower floors measured worse
 }
 
 // setAside takes a server out of the usable ones. Failures common to many servers point at what they share or
@@ -418,7 +418,7 @@
 			b.servers[f.at].work += load - f.load
 		}
 		f.load = load
-		if len(b.loads) > 10000 {
+		if len(b.loads) > 10000 { // a bound on memory, not a tuning
 			clear(b.loads)
 		}
 		b.loads[f.ca] = load
@@ -427,7 +427,7 @@
 				b.typical[k] = load
 			}
 		}
-		b.typical[f.kind] += (load - b.typical[f.kind]) / 32
+		b.typical[f.kind] += (load - b.typical[f.kind]) / 32 // a few dozen notes are fresh enough
 	}
 }
 
@@ -437,11 +437,11 @@
 		return
 	}
 	s := &b.servers[b.flows[id].at]
-	if aim := b.aim; delay > aim/3 {
+	if aim := b.aim; delay > aim/3 { // told from a third on; less means it has cleared
 		if delay > aim {
 			s.jamAt = now
 		}
-		b.lower(now, s, max(0.8, 1-0.05*delay/aim))
+		b.lower(now, s, max(0.8, 1-0.05*delay/aim)) // 3 and 10% an aim measured worse
 	}
 }
 
@@ -452,12 +452,12 @@
 	}
 	s := &b.servers[at]
 	s.probing = false
-	if r.Load > 0.3 && s.held > 3 { // the report tells what the server bears: room up to 0.85 of it
+	if r.Load > 0.3 && s.held > 3 { // enough to tell what it bears; 0.75 and 0.95 of that measured worse
 		bears := 0.85 * s.work / r.Load
 		if math.IsInf(s.ceiling, 1) {
 			s.ceiling = bears
 		}
-		s.ceiling += (bears - s.ceiling) / 4
+		s.ceiling += (bears - s.ceiling) / 4 // reports are noisy by a tenth or so
 		s.toldAt = now
 	}
 	if !s.aside {
@@ -629,7 +629,7 @@
 			best, least = at, over
 		}
 	}
-	b.scarce *= 0.97
+	b.scarce *= 0.97 // the last thirty or so
 	if !room {
 		b.scarce += 0.03
 	}
@@ -676,7 +676,7 @@
 		}
 	}
 	f.owed = false
-	away := b.RetryAdvice * (0.25 + 0.5*b.chance())
+	away := b.RetryAdvice * (0.25 + 0.5*b.chance()) // spread, so that they do not return together
 	if b.rejectable(now, f, away) {
 		return Decision{Do: Reject, Flow: id, Within: away}, true
 	}
@@ -691,7 +691,7 @@
 	}
 	for i := range b.servers {
 		s := &b.servers[i]
-		if s.work <= 1.1*s.ceiling || s.moves > s.held/10 {
+		if s.work <= 1.1*s.ceiling || s.moves > s.held/10 { // a tenth of slack for swings: see the design page
 			continue
 		}
 		s.moves++
@@ -700,7 +700,7 @@
 			if f := &b.flows[id]; f.live && f.open && f.at == i && !f.moved {
 				over := f.load / b.usualLoad(f.kind)
 				if b.overShare(f.tenant) {
-					over *= 10
+					over *= 10 // they go before anyone within a share
 				}
 				if over > most {
 					pick, most = id, over
