--- a/placement/placement.go
+++ b/placement/placement.go
@@ -186,11 +186,9 @@
 	for len(b.flows) <= id {
 		b.flows = append(b.flows, flow{})
 	}
-	key := a.Key
-	if key == 0 { // without a client key the group stands in for it, and without a group chance
-		if key = a.Group; key == 0 {
-			key = math.Float64bits(b.chance())
-		}
+	key := cmp.Or(a.Key, a.Group) // without a client key the group stands in for it, and without a group chance
+	if key == 0 {
+		key = math.Float64bits(b.chance())
 	}
 	b.flows[id] = flow{live: true, kind: min(max(a.Type, 0), len(b.Types)-1), tenant: max(a.Tenant, 0),
 		ca: mix(key), midFlow: a.MidFlow, load: a.Load, at: -1, ranAt: -1}
@@ -249,10 +247,7 @@
 
 // usualLoad is what a connection of a service type asks; before any was seen all count the same.
 func (b *Balancer) usualLoad(kind int) float64 {
-	if t := b.typical[kind]; t > 0 {
-		return t
-	}
-	return 0.02 // any figure does: it is only compared with itself
+	return cmp.Or(b.typical[kind], 0.02) // before any note any figure does: it is only compared with itself
 }
 
 // loadOf is what a flow is expected to ask: what its client asked last, what was told, or what is usual.
