--- a/placement/placement.go
+++ b/placement/placement.go
@@ -250,6 +250,14 @@
 	return cmp.Or(b.typical[kind], 0.02) // before any note any figure does: it is only compared with itself
 }
 
+// meanLoad is the mean of the usual loads, a unit that does not hang on the order of the service types.
+func (b *Balancer) meanLoad() (mean float64) {
+	for kind := range b.Types {
+		mean += b.usualLoad(kind) / float64(len(b.Types))
+	}
+	return mean
+}
+
 // loadOf is what a flow is expected to ask: what its client asked last, what was told, or what is usual.
 func (b *Balancer) loadOf(f *flow) float64 {
 	if l := b.loads[f.ca]; l > 0 {
@@ -380,7 +388,7 @@
 		b.say("server %d has too much: %d connections of load %.2f", s.ID, s.held, s.work)
 	}
 	s.cutAt = now
-	s.ceiling = max(by*min(s.work, s.ceiling), 2*b.usualLoad(0)) // lower floors measured worse
+	s.ceiling = max(by*min(s.work, s.ceiling), b.meanLoad()) // lower floors measured worse
 }
 
 // setAside takes a server out of the usable ones. Failures common to many servers point at what they share or
@@ -480,7 +488,7 @@
 	// let all nodes rush in together and jam it again.
 	for i := range b.servers {
 		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > reportLife && !math.IsInf(s.ceiling, 1) {
-			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, 64*b.usualLoad(0)) && now-s.cutAt > 5 {
+			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, 32*b.meanLoad()) && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
 				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
 			}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -302,6 +302,18 @@
 	}
 }
 
+// The order in which service types are listed decides nothing.
+func TestOrderOfTypes(t *testing.T) {
+	for _, loads := range [][]float64{{0.1, 1}, {1, 0.1}} {
+		g := newRig(3, func(r *Rundown) { r.Types = append(r.Types, r.Types[0]) })
+		g.typical = loads
+		g.lower(g.now, &g.servers[20], 0.9)
+		if got := g.servers[20].ceiling; math.Abs(got-0.55) > 1e-9 {
+			t.Errorf("loads %v: floor %g", loads, got)
+		}
+	}
+}
+
 func TestReportCeiling(t *testing.T) {
 	g := newRig(3, func(r *Rundown) { r.Reports = true })
 	g.load(1, 10)
