Review: leftovers, a stale comment and work done twice taken out; no decision changed

Gone: a factor of one left from trials, an alias, two parameters nothing read, a check that an open flow is live, a guard in excess that its only caller now holds, the mean load computed again for each server each beat, and a hand-written search for which slices.Contains does. The comment on the flag for scarce room said something older.

--- a/internal/lbwire/link.go
+++ b/internal/lbwire/link.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 
 	"gorseledge/placement"
 )
@@ -141,7 +142,7 @@
 	}
 	for i, no := range l.order {
 		in := l.nodes[no]
-		if in == nil || seen(l.order[:i], no) {
+		if in == nil || slices.Contains(l.order[:i], no) {
 			continue
 		}
 		for {
@@ -156,15 +157,6 @@
 	return nil
 }
 
-func seen(order []uint16, no uint16) bool {
-	for _, o := range order {
-		if o == no {
-			return true
-		}
-	}
-	return false
-}
-
 // piece cuts what a field of offset and length names out of the tail, in units of size bytes.
 func piece(field, tail []byte, size uint64) ([]byte, error) {
 	from, n := uint64(be.Uint32(field)), uint64(be.Uint32(field[4:]))*size
@@ -243,7 +235,7 @@
 			in.b.Carried(now, in.flow(id), arrival(rec), in.server(be.Uint32(rec[38:])))
 		}
 	case evFirst:
-		in.b.Established(now, in.flow(id), int(be.Uint16(rec[7:])), float64(be.Uint32(rec[13:]))*micro)
+		in.b.Established(in.flow(id), int(be.Uint16(rec[7:])), float64(be.Uint32(rec[13:]))*micro)
 	case evEnded:
 		in.b.Ended(now, in.flow(id), int(be.Uint16(rec[7:])), outcome(be.Uint16(rec[13:])), rec[19] != 0)
 	case evLeft:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -77,13 +77,13 @@
 	setups          [12]float64 // histogram of set-up times; bin i is up to 25 ms x 2^i
 	halveAt, beatAt float64
 	typical         []float64          // by service type: load of a connection
-	loads           map[uint64]float64 // by client key: last known load of a connection that ended here
+	loads           map[uint64]float64 // by client key: load by the last note
 	gate            float64            // most connects out at once while failures are common; infinite else
 	gateAt          float64
 	aim             float64 // the shortest for a message
 	out             int     // connects out
 	scarce          float64 // share of flows of late that found no room
-	crowded         bool    // no usable server has room
+	crowded         bool    // the last line on room said that it is scarce
 	follows         bool    // a subscription stands or is asked for
 	askAt, askGap   float64 // when to ask for the list (again)
 }
@@ -277,7 +277,7 @@
 func (b *Balancer) known(id int) bool { return id >= 0 && id < len(b.flows) && b.flows[id].live }
 
 // Established takes the news that a connect is up.
-func (b *Balancer) Established(now float64, id, try int, took float64) {
+func (b *Balancer) Established(id, try int, took float64) {
 	if !b.known(id) {
 		return
 	}
@@ -440,11 +440,11 @@
 		return
 	}
 	s := &b.servers[b.flows[id].at]
-	if aim := b.aim; delay > aim/3 { // told from a third on; less means it has cleared
-		if delay > aim {
+	if delay > b.aim/3 { // told from a third on; less means it has cleared
+		if delay > b.aim {
 			s.jamAt = now
 		}
-		b.lower(now, s, max(0.8, 1-0.05*delay/aim)) // 3 and 10% an aim measured worse
+		b.lower(now, s, max(0.8, 1-0.05*delay/b.aim)) // 3 and 10% an aim measured worse
 	}
 }
 
@@ -486,9 +486,10 @@
 	}
 	// A ceiling is dropped only once far above what any server bears: dropped as soon as a server was empty, it
 	// let all nodes rush in together and jam it again.
+	far := 32 * b.meanLoad()
 	for i := range b.servers {
 		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > reportLife && !math.IsInf(s.ceiling, 1) {
-			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, 32*b.meanLoad()) && now-s.cutAt > 5 {
+			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, far) && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
 				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
 			}
@@ -600,7 +601,7 @@
 	}
 	fits := load // scarce room is kept for a heavy flow too: light ones alone would fill every gap
 	for k := range b.Types {
-		fits = max(fits, 1*b.scarce*b.usualLoad(k))
+		fits = max(fits, b.scarce*b.usualLoad(k))
 	}
 	best, least, room := -1, math.Inf(1), false
 	for k := range m + 1 {
@@ -688,10 +689,7 @@
 
 // excess finds a connection to move off a server above its ceiling: the heaviest for its service type, so
 // that no type bears it alone. One a beat for each tenth of what the server holds.
-func (b *Balancer) excess(now float64) int {
-	if b.beatAt >= 0 {
-		return -1
-	}
+func (b *Balancer) excess() int {
 	for i := range b.servers {
 		s := &b.servers[i]
 		if s.work <= 1.1*s.ceiling || s.moves > s.held/10 { // a tenth of slack for swings: see the design page
@@ -700,7 +698,7 @@
 		s.moves++
 		pick, most := -1, 0.0
 		for id := range b.flows {
-			if f := &b.flows[id]; f.live && f.open && f.at == i && !f.moved {
+			if f := &b.flows[id]; f.open && f.at == i && !f.moved {
 				over := f.load / b.usualLoad(f.kind)
 				if b.overShare(f.tenant) {
 					over *= 10 // they go before anyone within a share
@@ -758,10 +756,10 @@
 		s.aside = false
 		b.say("server %d back untested: no probes here", s.ID)
 	}
-	if id := b.excess(now); id >= 0 {
-		return Decision{Do: Move, Flow: id}, true
-	}
 	if b.beatAt < 0 {
+		if id := b.excess(); id >= 0 {
+			return Decision{Do: Move, Flow: id}, true
+		}
 		b.beatAt = now + beat
 		return Decision{Do: Wake, Within: beat}, true
 	}
