--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,23 +30,23 @@
 
 type server struct {
 	Listing
-	listed     bool
-	held       int     // this balancer's connections and connects out
-	work       float64 // their load
-	ceiling    float64 // of work, once it was seen to be too much; infinite before
-	cutAt      float64 // when the ceiling was last lowered, and when a report last set it
-	toldAt     float64
-	jamAt      float64 // last seen in a jam, and last turned a connect away: it takes nothing new for a while
-	fullAt     float64
-	bad, good  float64 // failures and connects established of late
-	aside      bool
-	hold       float64 // for how long it is set aside next time
-	answers    int     // probes answered in a row
-	probing    bool
-	probeAt    float64
-	moves      int     // in this beat
-	spent      float64 // connects sent in the current cold window
-	windowFrom float64
+	listed      bool
+	held        int     // this balancer's connections and connects out
+	work        float64 // their load
+	ceiling     float64 // of work, once it was seen to be too much; infinite before
+	cutAt       float64 // when the ceiling was last lowered, and when a report last set it
+	toldAt      float64
+	jamAt       float64 // last seen in a jam, and last turned a connect away: it takes nothing new for a while
+	fullAt      float64
+	bad, good   float64 // failures and connects established of late
+	aside       bool
+	hold        float64 // for how long it is set aside next time
+	answers     int     // probes answered in a row
+	probing     bool
+	probeAt     float64
+	moves       int     // in this beat
+	spent, luck float64 // in the current cold window: connects sent, and the draw that rounds this node's part
+	windowFrom  float64
 }
 
 type flow struct {
@@ -55,6 +55,7 @@
 	live, owed       bool   // the index is in use; a final answer is due
 	out, open        bool   // a connect is out, or the connection it became; established
 	midFlow, moved   bool
+	back             bool    // its last connection broke or was moved
 	due, sentAt      float64 // the final answer goes out before due
 	load             float64
 	at, ranOn, tries int     // at: server of the current connect or connection, -1 before the first
@@ -191,7 +192,7 @@
 		key = math.Float64bits(b.chance())
 	}
 	b.flows[id] = flow{live: true, kind: min(max(a.Type, 0), len(b.Types)-1), tenant: max(a.Tenant, 0),
-		ca: mix(key), midFlow: a.MidFlow, load: a.Load, at: -1, ranAt: -1}
+		ca: mix(key), midFlow: a.MidFlow, back: a.Back, load: a.Load, at: -1, ranAt: -1}
 	if a.Group != 0 {
 		b.flows[id].home = mix(a.Group)
 	}
@@ -545,9 +546,11 @@
 		return true
 	}
 	if now-s.windowFrom >= b.FallFor {
-		s.windowFrom, s.spent = now, 0
+		s.windowFrom, s.spent, s.luck = now, 0, b.chance()
 	}
-	return s.spent < max(1, warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
+	// Guards against a hundred nodes that each round their part up to one connect: they pushed cold servers over.
+	part := max(1/float64(b.Nodes), warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
+	return s.spent+1 <= part+s.luck
 }
 
 // lawful tells whether a further connect of f may go to server at: no effect twice.
--- a/placement/types.go
+++ b/placement/types.go
@@ -81,6 +81,7 @@
 	Left         float64 // until the connect timeout
 	Load         float64 // expected load, 0 where not told
 	MidFlow      bool    // an open connection whose packets now come here
+	Back         bool    // the client comes again after a break or a move
 }
 
 // Outcome is how a connect or a probe ended.
