A client back after a break or a move goes to its group's home

Cause: with 40 to 90 servers the path spreads a group over all of them, each pays for it, and a dropped client came again at a node that knew nothing, to the same server.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -597,6 +597,9 @@
 	next := entry + 1
 	if f.home != 0 {
 		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
+		if f.back && !mid { // its last place had too much, whichever node put it there
+			entry = next
+		}
 	}
 	spare := 1.0
 	if b.overShare(f.tenant) {
