--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,6 +25,8 @@
 	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
 	firstHold   = 1.0  // a server set aside is left alone this long, doubled each time it comes back to fail
 	longestHold = 16.0 // so that a mended server is missed for no longer than it takes to notice
+	strainRise  = 2.0  //
+	strainFade  = 20.0 //
 	probePace   = 0.5  // between probes of one server set aside
 )
 
@@ -85,6 +87,7 @@
 	out             int     // connects out
 	scarce          float64 // share of flows of late that found no room
 	crowded         bool    // the last line on room said that it is scarce
+	strain          float64 // chance that a flow goes to its group's home at once, by what was seen of jams
 	follows         bool    // a subscription stands or is asked for
 	askAt, askGap   float64 // when to ask for the list (again)
 }
@@ -488,7 +491,14 @@
 	// A ceiling is dropped only once far above what any server bears: dropped as soon as a server was empty, it
 	// let all nodes rush in together and jam it again.
 	far := 32 * b.meanLoad()
+	holding, tight := 0.0, 0.0
 	for i := range b.servers {
+		if s := &b.servers[i]; s.held > 0 {
+			holding++
+			if now-s.cutAt < 2 {
+				tight++
+			}
+		}
 		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > reportLife && !math.IsInf(s.ceiling, 1) {
 			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, far) && now-s.cutAt > 5 {
 				s.ceiling = math.Inf(1)
@@ -496,6 +506,7 @@
 			}
 		}
 	}
+	b.strain += beat * (strainRise*tight/max(holding, 1)*(1-b.strain) - b.strain/strainFade)
 	if !math.IsInf(b.gate, 1) && now-b.gateAt > 5 && b.gate > float64(4*b.out+8) {
 		b.gate = math.Inf(1)
 		b.say("gate open again, %d connects out", b.out)
@@ -597,7 +608,8 @@
 	next := entry + 1
 	if f.home != 0 {
 		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
-		if f.back && !mid { // its last place had too much, whichever node put it there
+		// What came back had a place with too much, whichever node chose it; others follow as strain is seen.
+		if !mid && (f.back || b.chance() < b.strain) {
 			entry = next
 		}
 	}
