--- a/placement/placement.go
+++ b/placement/placement.go
@@ -57,6 +57,7 @@
 	live, owed       bool   // the index is in use; a final answer is due
 	out, open        bool   // a connect is out, or the connection it became; established
 	midFlow, moved   bool
+	homeward         bool    // it went to its group's home, not to its primary
 	back             bool    // its last connection broke or was moved
 	due, sentAt      float64 // the final answer goes out before due
 	load             float64
@@ -88,6 +89,7 @@
 	scarce          float64 // share of flows of late that found no room
 	crowded         bool    // the last line on room said that it is scarce
 	strain          float64 // chance that a flow goes to its group's home at once, by what was seen of jams
+	atHome          int     // open connections at their group's home less those at their primary
 	follows         bool    // a subscription stands or is asked for
 	askAt, askGap   float64 // when to ask for the list (again)
 }
@@ -99,7 +101,7 @@
 		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
 	}
 	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)), beatAt: -1,
-		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99,
+		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99, strain: 1 - 1/float64(r.Nodes),
 		aim: math.Inf(1)}
 	for _, t := range r.Types {
 		if t.MessageAim > 0 {
@@ -235,14 +237,25 @@
 		b.out--
 	}
 	f.out = false
+	if f.open {
+		b.atHome -= f.side()
+	}
 	if f.open && f.tenant < len(b.tenants) {
 		b.tenants[f.tenant]--
 	}
 	f.open = false
 }
 
+func (f *flow) side() int {
+	if f.homeward {
+		return 1
+	}
+	return -1
+}
+
 func (b *Balancer) opened(f *flow) {
 	f.open, f.owed = true, false
+	b.atHome += f.side()
 	b.out--
 	if f.tenant < len(b.tenants) {
 		b.tenants[f.tenant]++
@@ -609,7 +622,8 @@
 	if f.home != 0 {
 		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
 		// What came back had a place with too much, whichever node chose it; others follow as strain is seen.
-		if !mid && (f.back || b.chance() < b.strain) {
+		f.homeward = f.back || !mid && b.chance() < b.strain || mid && b.atHome > 0
+		if f.homeward {
 			entry = next
 		}
 	}
