Homes by weight; a node that sees little paces and searches for clients that come back

Cause: at 25 to 140 nodes a dropped client came again at a node that knew nothing, was set up where it had been dropped, and kept every jam alive (8 to 30 connects a flow). Now, the fewer connections a server a node holds, the more of what comes back is rejected with a retry time while its own servers are slow, and the more of it goes to any server. Moves are found in one pass over the flows, servers asked are remembered exactly, remembered loads leave by halves.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,13 +25,17 @@
 	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
 	firstHold   = 1.0  // a server set aside is left alone this long, doubled each time it comes back to fail
 	longestHold = 16.0 // so that a mended server is missed for no longer than it takes to notice
-	strainRise  = 2.0  //
-	strainFade  = 20.0 //
+	strainRise  = 2.0  // a second, by the share of servers seen tight: a jam is met within a second or so
+	strainFade  = 20.0 // so that a quiet half minute brings the ordinary path back; 60 measured alike
+	tightHold   = 2.0  // two delay notes' time
+	paceReturns = 2.5  // of what a blind node sees tight; 0.9 and 1.5 measured worse with 130 nodes
+	searchShare = 0.5  // of what comes back to a blind node goes to any server; 0.25 measured alike
 	probePace   = 0.5  // between probes of one server set aside
 )
 
 type server struct {
 	Listing
+	mark        uint64 // hash of the id
 	listed      bool
 	held        int     // this balancer's connections and connects out
 	work        float64 // their load
@@ -62,7 +66,7 @@
 	due, sentAt      float64 // the final answer goes out before due
 	load             float64
 	at, ranOn, tries int     // at: server of the current connect or connection, -1 before the first
-	tried            uint64  // servers asked already, by index mod 64
+	asked            []int   // servers asked already; by index mod 64 two were taken for one past 64 servers
 	ranAt            float64 // when the first connect that may have run was sent, -1 for none; ranOn: where
 }
 
@@ -77,17 +81,19 @@
 	asks            []Decision
 	chances         uint64
 	fnv             hash.Hash64
-	tenants         []int
+	tenants         []int       // open connections by member; the last is for members without a share
 	setups          [12]float64 // histogram of set-up times; bin i is up to 25 ms x 2^i
 	halveAt, beatAt float64
 	typical         []float64          // by service type: load of a connection
-	loads           map[uint64]float64 // by client key: load by the last note
+	loads, older    map[uint64]float64 // by client key: load by the last note
 	gate            float64            // most connects out at once while failures are common; infinite else
 	gateAt          float64
 	aim             float64 // the shortest for a message
 	out             int     // connects out
 	scarce          float64 // share of flows of late that found no room
-	crowded         bool    // the last line on room said that it is scarce
+	jammed          bool    // the last line on jams said so
+	tight           float64 // share of the servers holding connections of this node that were slow of late
+	blind           float64 // 1 for a node that holds nothing, near 0 for one that holds many a server
 	strain          float64 // chance that a flow goes to its group's home at once, by what was seen of jams
 	atHome          int     // open connections at their group's home less those at their primary
 	follows         bool    // a subscription stands or is asked for
@@ -100,9 +106,9 @@
 	if len(r.Types) == 0 {
 		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
 	}
-	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)), beatAt: -1,
-		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99, strain: 1 - 1/float64(r.Nodes),
-		aim: math.Inf(1)}
+	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)+1), beatAt: -1,
+		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99,
+		aim: math.Inf(1), strain: 1 - 1/float64(r.Nodes)}
 	for _, t := range r.Types {
 		if t.MessageAim > 0 {
 			b.aim = min(b.aim, t.MessageAim)
@@ -164,14 +170,12 @@
 			*s = unknown()
 			s.held, s.work, s.probing = held, work, probing
 		}
-		s.Listing, s.listed = it, it.State != Gone
+		s.Listing, s.listed, s.mark = it, it.State != Gone, mix(uint64(it.ID))
 	}
 	b.base = b.base[:0]
 	for i := range b.servers {
 		if b.servers[i].listed {
 			b.base = append(b.base, i)
-		} else {
-			b.servers[i].aside = false
 		}
 	}
 	slices.SortFunc(b.base, func(x, y int) int { return cmp.Compare(b.servers[x].ID, b.servers[y].ID) })
@@ -192,12 +196,11 @@
 	for len(b.flows) <= id {
 		b.flows = append(b.flows, flow{})
 	}
-	key := cmp.Or(a.Key, a.Group) // without a client key the group stands in for it, and without a group chance
-	if key == 0 {
-		key = math.Float64bits(b.chance())
-	}
-	b.flows[id] = flow{live: true, kind: min(max(a.Type, 0), len(b.Types)-1), tenant: max(a.Tenant, 0),
-		ca: mix(key), midFlow: a.MidFlow, back: a.Back, load: a.Load, at: -1, ranAt: -1}
+	// Without a client key the group stands in for it, and without a group chance.
+	key := cmp.Or(a.Key, a.Group, math.Float64bits(b.chance()))
+	b.flows[id] = flow{live: true, kind: min(max(a.Type, 0), len(b.Types)-1),
+		tenant: min(max(a.Tenant, 0), len(b.Quotas)), ca: mix(key), midFlow: a.MidFlow, back: a.Back,
+		load: a.Load, at: -1, ranAt: -1, asked: b.flows[id].asked[:0]}
 	if a.Group != 0 {
 		b.flows[id].home = mix(a.Group)
 	}
@@ -233,38 +236,32 @@
 	s := &b.servers[f.at]
 	s.held--
 	s.work -= f.load
-	if !f.open {
-		b.out--
-	}
-	f.out = false
 	if f.open {
-		b.atHome -= f.side()
-	}
-	if f.open && f.tenant < len(b.tenants) {
-		b.tenants[f.tenant]--
-	}
-	f.open = false
-}
-
-func (f *flow) side() int {
-	if f.homeward {
-		return 1
+		b.count(f, -1)
+	} else {
+		b.out--
 	}
-	return -1
+	f.out, f.open = false, false
 }
 
 func (b *Balancer) opened(f *flow) {
 	f.open, f.owed = true, false
-	b.atHome += f.side()
 	b.out--
-	if f.tenant < len(b.tenants) {
-		b.tenants[f.tenant]++
+	b.count(f, 1)
+}
+
+// count keeps the open connections by member and by what placed them.
+func (b *Balancer) count(f *flow, by int) {
+	b.tenants[f.tenant] += by
+	if f.homeward {
+		b.atHome += by
+	} else {
+		b.atHome -= by
 	}
 }
 
-// usualLoad is what a connection of a service type asks; before any was seen all count the same.
 func (b *Balancer) usualLoad(kind int) float64 {
-	return cmp.Or(b.typical[kind], 0.02) // before any note any figure does: it is only compared with itself
+	return cmp.Or(b.typical[kind], 0.02) // before any note any figure does, as it is compared with itself
 }
 
 // meanLoad is the mean of the usual loads, a unit that does not hang on the order of the service types.
@@ -277,39 +274,29 @@
 
 // loadOf is what a flow is expected to ask: what its client asked last, what was told, or what is usual.
 func (b *Balancer) loadOf(f *flow) float64 {
-	if l := b.loads[f.ca]; l > 0 {
+	if l := cmp.Or(b.loads[f.ca], b.older[f.ca], f.load); l > 0 {
 		return l
 	}
-	if f.load > 0 {
-		return f.load
-	}
 	return b.usualLoad(f.kind)
 }
 
 // overShare tells whether a member holds more here than this node's part of its share.
 func (b *Balancer) overShare(tenant int) bool {
-	return tenant < len(b.tenants) && float64(b.tenants[tenant]*b.Nodes) > b.Quotas[tenant]
+	return tenant < len(b.Quotas) && float64(b.tenants[tenant]*b.Nodes) > b.Quotas[tenant]
 }
 
 func (b *Balancer) known(id int) bool { return id >= 0 && id < len(b.flows) && b.flows[id].live }
 
 // Established takes the news that a connect is up.
 func (b *Balancer) Established(id, try int, took float64) {
-	if !b.known(id) {
+	if !b.known(id) || !b.flows[id].out || b.flows[id].open || try != b.flows[id].tries-1 {
 		return
 	}
 	f := &b.flows[id]
-	if !f.out || f.open || try != f.tries-1 {
-		return
-	}
 	b.opened(f)
 	b.servers[f.at].good++
 	b.gate += 1 / max(b.gate, 1) // one more a round of connects, as long as none fails
-	bin := 0
-	for edge := 0.025; took > edge && bin < len(b.setups)-1; edge *= 2 {
-		bin++
-	}
-	b.setups[bin]++
+	b.setups[min(int(math.Ceil(math.Log2(max(took/0.025, 1)))), len(b.setups)-1)]++
 }
 
 // Ended takes the end of a connect or of the connection it became; over says that the flow is finished.
@@ -367,33 +354,34 @@
 		return
 	}
 	s.bad++
-	bad, all := 0.0, 0.0
+	bad, all, out, ready := 0.0, 0.0, 1, 0
 	for _, i := range b.base {
-		if o := &b.servers[i]; o != s {
-			bad, all = bad+o.bad, all+o.bad+o.good
+		o := &b.servers[i]
+		bad, all = bad+o.bad, all+o.bad+o.good
+		if o.State == Ready {
+			ready++
+			if o.aside {
+				out++
+			}
 		}
 	}
 	common := bad / max(all, 1)
-	// Guards against a shared store or the traffic being taken for sick servers: where the others fail as well,
-	// in one of twenty, well over what sound servers do, fewer connects go out instead.
-	if how != Unreached && common > 0.05 {
-		b.close(now, common)
-	}
-	if share := s.bad / (s.bad + s.good); share > 0.2+2*common && !s.aside && s.listed {
-		b.setAside(now, s)
-	}
-}
-
-// close lowers the gate, once for all failures that were on their way together.
-func (b *Balancer) close(now, common float64) {
-	if now-b.gateAt < 0.2 { // failures already on their way when it was last lowered
-		return
+	// Guards against a shared store or the traffic being taken for sick servers: where one in twenty fails
+	// everywhere, well over what sound servers do, fewer go out: once for all that were on their way.
+	if how != Unreached && common > 0.05 && now-b.gateAt >= 0.2 {
+		if math.IsInf(b.gate, 1) {
+			b.say("failures common, %.0f%% of connects: gate at %d out", 100*common, b.out)
+		}
+		b.gateAt = now
+		b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 	}
-	if math.IsInf(b.gate, 1) {
-		b.say("failures common, %.0f%% of connects: gate at %d out", 100*common, b.out)
+	if s.bad/(s.bad+s.good) > 0.2+2*common && !s.aside && s.listed && out <= max(1, ready/3) {
+		s.aside, s.answers = true, 0
+		b.say("server %d set aside for %.1f s: %.1f failures to %.1f established, %d of %d out", s.ID, s.hold,
+			s.bad, s.good, out, ready)
+		s.probeAt = now + s.hold
+		s.hold = min(2*s.hold, longestHold)
 	}
-	b.gateAt = now
-	b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 }
 
 // lower puts a server's ceiling under what it holds: what is there is too much.
@@ -401,54 +389,30 @@
 	if now-s.cutAt < 1 { // delay notes come once a second
 		return
 	}
-	if math.IsInf(s.ceiling, 1) {
-		b.say("server %d has too much: %d connections of load %.2f", s.ID, s.held, s.work)
-	}
 	s.cutAt = now
 	s.ceiling = max(by*min(s.work, s.ceiling), b.meanLoad()) // lower floors measured worse
 }
 
-// setAside takes a server out of the usable ones. Failures common to many servers point at what they share or
-// at the traffic, so no more than a third are ever out together.
-func (b *Balancer) setAside(now float64, s *server) {
-	out, ready := 1, 0
-	for _, i := range b.base {
-		if b.servers[i].State == Ready {
-			ready++
-			if b.servers[i].aside {
-				out++
-			}
-		}
-	}
-	if out > max(1, ready/3) {
-		return
-	}
-	s.aside, s.answers = true, 0
-	b.say("server %d set aside for %.1f s: %.1f failures to %.1f established, %d of %d out", s.ID, s.hold,
-		s.bad, s.good, out, ready)
-	s.probeAt = now + s.hold
-	s.hold = min(2*s.hold, longestHold)
-}
-
 // LoadNote takes the load of an open connection.
 func (b *Balancer) LoadNote(id int, load float64) {
-	if b.known(id) && !b.flows[id].moved {
-		f := &b.flows[id]
-		if f.out {
-			b.servers[f.at].work += load - f.load
-		}
-		f.load = load
-		if len(b.loads) > 10000 { // a bound on memory, not a tuning
-			clear(b.loads)
-		}
-		b.loads[f.ca] = load
-		for k := range b.typical {
-			if b.typical[k] == 0 { // the first note stands for all types until their own come
-				b.typical[k] = load
-			}
+	if !b.known(id) || b.flows[id].moved {
+		return
+	}
+	f := &b.flows[id]
+	if f.out {
+		b.servers[f.at].work += load - f.load
+	}
+	f.load = load
+	if len(b.loads) >= 5000 { // a bound on memory, not a tuning; half of it outlives each turn
+		b.older, b.loads = b.loads, map[uint64]float64{}
+	}
+	b.loads[f.ca] = load
+	for k := range b.typical {
+		if b.typical[k] == 0 { // the first note stands for all types until their own come
+			b.typical[k] = load
 		}
-		b.typical[f.kind] += (load - b.typical[f.kind]) / 32 // a few dozen notes are fresh enough
 	}
+	b.typical[f.kind] += (load - b.typical[f.kind]) / 32 // a few dozen notes are fresh enough
 }
 
 // DelayNote takes how long a message takes now at the server of an open connection.
@@ -457,10 +421,10 @@
 		return
 	}
 	s := &b.servers[b.flows[id].at]
+	if delay > b.aim {
+		s.jamAt = now
+	}
 	if delay > b.aim/3 { // told from a third on; less means it has cleared
-		if delay > b.aim {
-			s.jamAt = now
-		}
 		b.lower(now, s, max(0.8, 1-0.05*delay/b.aim)) // 3 and 10% an aim measured worse
 	}
 }
@@ -480,17 +444,12 @@
 		s.ceiling += (bears - s.ceiling) / 4 // reports are noisy by a tenth or so
 		s.toldAt = now
 	}
-	if !s.aside {
-		if how == Unreached || how == Unanswered || how == Broken {
-			s.bad += 0.5
-		}
-		return
-	}
-	if how != Served {
+	if how == Served {
+		s.answers++
+	} else {
 		s.answers = 0
-		return
 	}
-	if s.answers++; s.answers >= 2 {
+	if s.aside && s.answers >= 2 {
 		s.aside, s.bad, s.good = false, 0, 0
 		b.say("server %d back after %d probes answered", s.ID, s.answers)
 	}
@@ -501,39 +460,48 @@
 	if now >= b.beatAt-b.Tick {
 		b.beatAt = -1
 	}
-	// A ceiling is dropped only once far above what any server bears: dropped as soon as a server was empty, it
-	// let all nodes rush in together and jam it again.
-	far := 32 * b.meanLoad()
-	holding, tight := 0.0, 0.0
-	for i := range b.servers {
-		if s := &b.servers[i]; s.held > 0 {
-			holding++
-			if now-s.cutAt < 2 {
-				tight++
-			}
-		}
-		if s := &b.servers[i]; now-s.cutAt > jamHold && now-s.toldAt > reportLife && !math.IsInf(s.ceiling, 1) {
-			if s.ceiling *= 1.02; s.ceiling > max(2*s.work, far) && now-s.cutAt > 5 {
-				s.ceiling = math.Inf(1)
-				b.say("server %d has room again: %d connections of load %.2f", s.ID, s.held, s.work)
-			}
-		}
-	}
-	b.strain += beat * (strainRise*tight/max(holding, 1)*(1-b.strain) - b.strain/strainFade)
+	b.look(now)
 	if !math.IsInf(b.gate, 1) && now-b.gateAt > 5 && b.gate > float64(4*b.out+8) {
 		b.gate = math.Inf(1)
 		b.say("gate open again, %d connects out", b.out)
 	}
-	if now < b.halveAt {
-		return
+	if now >= b.halveAt {
+		b.halveAt = now + halfLife
+		for i := range b.servers {
+			b.servers[i].bad /= 2
+			b.servers[i].good /= 2
+		}
+		for i := range b.setups {
+			b.setups[i] /= 2
+		}
 	}
-	b.halveAt = now + halfLife
+}
+
+// look raises the ceilings and takes stock of jams. A ceiling that is dropped once its server is empty lets all
+// nodes rush in together and jam it again.
+func (b *Balancer) look(now float64) {
+	holding, tight, held := 0.0, 0.0, 0.0
 	for i := range b.servers {
-		b.servers[i].bad /= 2
-		b.servers[i].good /= 2
+		s := &b.servers[i]
+		s.moves = 0
+		if now-s.cutAt > jamHold && now-s.toldAt > reportLife {
+			s.ceiling *= 1.02
+		}
+		if s.held > 0 {
+			holding++
+			held += float64(s.held)
+			if now-s.cutAt < tightHold {
+				tight++
+			}
+		}
 	}
-	for i := range b.setups {
-		b.setups[i] /= 2
+	b.tight = tight / max(holding, 1)
+	b.strain += beat * (strainRise*b.tight*(1-b.strain) - b.strain/strainFade)
+	b.blind = 1 / (1 + held/max(float64(len(b.base)), 1))
+	if b.jammed && b.tight+b.scarce < 0.1 || !b.jammed && b.tight+b.scarce > 0.5 {
+		b.jammed = !b.jammed
+		b.say("jammed: %v, %.0f of %.0f servers in use slow, %.0f%% of flows without room, %.0f%% sent home",
+			b.jammed, tight, holding, 100*b.scarce, 100*b.strain)
 	}
 }
 
@@ -563,8 +531,8 @@
 	return b.ColdFrom + (1-b.ColdFrom)*max(age, 0)/b.ColdFor
 }
 
-// mayTake is this node's part of the budget of a cold server: what a warm server's connections, spread over
-// the warm-up, let it take in one window, times its warmth.
+// mayTake keeps to this node's part of a cold server's budget in a window: what a warm server's connections,
+// spread over the warm-up, come to, times its warmth.
 func (b *Balancer) mayTake(now float64, s *server, warm, mean float64) bool {
 	if warm >= 1 {
 		return true
@@ -572,7 +540,7 @@
 	if now-s.windowFrom >= b.FallFor {
 		s.windowFrom, s.spent, s.luck = now, 0, b.chance()
 	}
-	// Guards against a hundred nodes that each round their part up to one connect: they pushed cold servers over.
+	// Guards against a hundred nodes that each round their part up to one connect and push the server over.
 	part := max(1/float64(b.Nodes), warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
 	return s.spent+1 <= part+s.luck
 }
@@ -606,23 +574,24 @@
 	if m == 0 {
 		return -1
 	}
-	mean, meanWork := 0.0, 0.0
+	mean := 0.0
 	for _, i := range b.usable {
 		mean += float64(b.servers[i].held) / float64(m)
-		meanWork += b.servers[i].work / float64(m)
 	}
 	entry := slices.Index(b.usable, b.base[f.ca%uint64(len(b.base))])
 	if entry < 0 {
 		entry = int(f.ca % uint64(m))
 	}
-	full := max(spillFloor, spillFactor*mean)
-	load := b.loadOf(f)
-	heavy := max((spillFloor+1)*b.usualLoad(f.kind), spillFactor*meanWork)
+	full, load := max(spillFloor, spillFactor*mean), b.loadOf(f)
 	next := entry + 1
 	if f.home != 0 {
-		next = int(f.home % uint64(m)) // a group shares its work: what spills goes on from the group's home
-		// What came back had a place with too much, whichever node chose it; others follow as strain is seen.
-		f.homeward = f.back || !mid && b.chance() < b.strain || mid && b.atHome > 0
+		next = b.homeOf(f.home) // a group shares its work: what spills goes on from the group's home
+		// What comes back had too much where it was, whichever node chose that: home, or anywhere, lest a node
+		// that sees little sends it where it was dropped. Others go home as strain is seen.
+		f.homeward = f.back || mid && b.atHome > 0 || !mid && b.chance() < b.strain
+		if f.back && !mid && b.chance() < searchShare*b.blind {
+			next = int(b.chance() * float64(m))
+		}
 		if f.homeward {
 			entry = next
 		}
@@ -654,11 +623,10 @@
 			continue
 		}
 		room = true
-		if f.tried&(1<<(at%64)) != 0 || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
+		if slices.Contains(f.asked, at) || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
 			continue
 		}
-		if float64(s.held) <= full*warm && s.work+load <= max(heavy*warm, load) &&
-			(warm >= 1 || b.chance() < warm) {
+		if float64(s.held) <= full*warm && (warm >= 1 || b.chance() < warm) {
 			return at
 		}
 		if over := float64(s.held) / warm; over < least {
@@ -669,9 +637,18 @@
 	if !room {
 		b.scarce += 0.03
 	}
-	if b.scarce > 0.3 && !b.crowded || b.scarce < 0.05 && b.crowded {
-		b.crowded = !b.crowded
-		b.say("room scarce: %v, %.0f%% of flows of late found none on %d servers", b.crowded, 100*b.scarce, m)
+	return best
+}
+
+// homeOf is a group's home: the highest weight by both hashes, so that another list moves few groups.
+func (b *Balancer) homeOf(home uint64) int {
+	best, most := 0, uint64(0)
+	for k, i := range b.usable {
+		w := (home ^ b.servers[i].mark) * 0x9e3779b97f4a7c15
+		w = (w ^ w>>32) * 0xd6e8feb86659fd93
+		if w ^= w >> 32; w >= most {
+			best, most = k, w
+		}
 	}
 	return best
 }
@@ -700,13 +677,16 @@
 	if !f.owed || f.out {
 		return Decision{}, false
 	}
-	if now < f.due && f.tries < b.MaxConnects && (float64(b.out) < b.gate || f.midFlow) {
+	// Guards against dropped clients that bounce from server to server and keep every jam alive: where a node
+	// sees too little to find room, those that come back are paced with a retry time.
+	paced := f.back && !f.midFlow && f.tries == 0 && b.chance() < paceReturns*b.tight*b.blind
+	if now < f.due && f.tries < b.MaxConnects && (float64(b.out) < b.gate || f.midFlow) && !paced {
 		if at := b.place(now, f); at >= 0 {
 			within := b.timeout(now, f)
 			b.hold(f, at)
 			f.tries++
 			f.sentAt = now
-			f.tried |= 1 << (at % 64)
+			f.asked = append(f.asked, at)
 			b.servers[at].spent++
 			return Decision{Do: Connect, Flow: id, Server: at, Within: within}, true
 		}
@@ -719,38 +699,35 @@
 	return Decision{Do: Abort, Flow: id}, true
 }
 
-// excess finds a connection to move off a server above its ceiling: the heaviest for its service type, so
-// that no type bears it alone. One a beat for each tenth of what the server holds.
-func (b *Balancer) excess() int {
-	for i := range b.servers {
-		s := &b.servers[i]
-		if s.work <= 1.1*s.ceiling || s.moves > s.held/10 { // a tenth of slack for swings: see the design page
-			continue
+// tooMuch leaves a tenth of slack for swings.
+func (b *Balancer) tooMuch(at int) bool { return b.servers[at].work > 1.1*b.servers[at].ceiling }
+
+// excess moves connections off servers above their ceiling: members over their share first, then the heaviest
+// for their service type, so that none bears it alone. One a beat for each tenth of what a server holds.
+func (b *Balancer) excess() {
+	by := func(id int) float64 {
+		f := &b.flows[id]
+		if b.overShare(f.tenant) {
+			return 10 * f.load / b.usualLoad(f.kind)
 		}
-		s.moves++
-		pick, most := -1, 0.0
-		for id := range b.flows {
-			if f := &b.flows[id]; f.open && f.at == i && !f.moved {
-				over := f.load / b.usualLoad(f.kind)
-				if b.overShare(f.tenant) {
-					over *= 10 // they go before anyone within a share
-				}
-				if over > most {
-					pick, most = id, over
-				}
-			}
+		return f.load / b.usualLoad(f.kind)
+	}
+	var over []int
+	for id := range b.flows {
+		if f := &b.flows[id]; f.open && !f.moved && f.load > 0 && b.tooMuch(f.at) {
+			over = append(over, id)
 		}
-		if pick >= 0 {
-			f := &b.flows[pick]
+	}
+	slices.SortStableFunc(over, func(x, y int) int { return cmp.Compare(by(y), by(x)) })
+	for _, id := range over {
+		f := &b.flows[id]
+		if s := &b.servers[f.at]; b.tooMuch(f.at) && s.moves <= s.held/10 {
+			s.moves++
 			s.work -= f.load
 			f.load, f.moved = 0, true
-			return pick
+			b.asks = append(b.asks, Decision{Do: Move, Flow: id})
 		}
 	}
-	for i := range b.servers {
-		b.servers[i].moves = 0
-	}
-	return -1
 }
 
 // Next gives the next decision, or false when there is none for now.
@@ -762,7 +739,11 @@
 			return d, true
 		}
 	}
-	b.todo = b.todo[:0]
+	if b.beatAt < 0 {
+		b.beatAt = now + beat
+		b.excess()
+		b.asks = append(b.asks, Decision{Do: Wake, Within: beat})
+	}
 	if len(b.asks) > 0 {
 		d := b.asks[0]
 		b.asks = b.asks[1:]
@@ -785,15 +766,7 @@
 			s.probing = true
 			return Decision{Do: Probe, Server: i}, true
 		}
-		s.aside = false
-		b.say("server %d back untested: no probes here", s.ID)
-	}
-	if b.beatAt < 0 {
-		if id := b.excess(); id >= 0 {
-			return Decision{Do: Move, Flow: id}, true
-		}
-		b.beatAt = now + beat
-		return Decision{Do: Wake, Within: beat}, true
+		s.aside = false // untested, where no probes are allowed
 	}
 	return Decision{}, false
 }
