--- a/internal/lbwire/link.go
+++ b/internal/lbwire/link.go
@@ -273,7 +273,7 @@
 			host := be.Uint32(text[16:])
 			items = append(items, placement.Listing{Server: in.server(host), ID: host, State: state,
 				Since: float64(be.Uint64(text[7:])) * micro, Zone: int(be.Uint16(text[4:])),
-				Cell: int(be.Uint16(text[20:]))})
+				Cell: int(be.Uint16(text[20:])), Size: math.Max(float64(math.Float32frombits(be.Uint32(text))), 0)})
 		}
 		in.b.List(now, kind, items)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -640,14 +640,15 @@
 	return best
 }
 
-// homeOf is a group's home: the highest weight by both hashes, so that another list moves few groups.
+// homeOf is a group's home: the highest draw by both hashes, weighed by size, so that another list moves few groups.
 func (b *Balancer) homeOf(home uint64) int {
-	best, most := 0, uint64(0)
+	best, least := 0, math.Inf(1)
 	for k, i := range b.usable {
 		w := (home ^ b.servers[i].mark) * 0x9e3779b97f4a7c15
 		w = (w ^ w>>32) * 0xd6e8feb86659fd93
-		if w ^= w >> 32; w >= most {
-			best, most = k, w
+		far := -math.Log((float64((w^w>>32)>>11)+0.5)/(1<<53)) / cmp.Or(b.servers[i].Size, 1)
+		if far < least {
+			best, least = k, far
 		}
 	}
 	return best
--- a/placement/types.go
+++ b/placement/types.go
@@ -62,6 +62,7 @@
 	Since  float64 // when it last started; 0 for long ago
 	Zone   int
 	Cell   int
+	Size   float64 // registered, to compare with others'; 0 where not told
 }
 
 // ListKind tells how a list relates to the one before.
