--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,7 +29,7 @@
 	strainFade  = 20.0 // so that a quiet half minute brings the ordinary path back; 60 measured alike
 	tightHold   = 2.0  // two delay notes' time
 	paceReturns = 2.5  // of what a blind node sees tight; 0.9 and 1.5 measured worse with 130 nodes
-	searchShare = 0.5  // of what comes back to a blind node goes to any server; 0.25 measured alike
+	searchShare = 0.5  // of what comes back to a blind node goes to any server; 0.25 alike
 	probePace   = 0.5  // between probes of one server set aside
 )
 
@@ -554,7 +554,7 @@
 	if t.Effect == OnceOnly || now >= f.ranAt+t.MemorySpan {
 		return false
 	}
-	was, to := &b.servers[f.ranOn], &b.servers[at]
+	was, to := b.servers[f.ranOn].Listing, b.servers[at].Listing
 	return t.Group == GroupAll || t.Group == GroupZone && was.Zone == to.Zone ||
 		t.Group == GroupCell && was.Cell == to.Cell
 }
@@ -640,11 +640,11 @@
 	return best
 }
 
-// homeOf is a group's home: the highest draw by both hashes, weighed by size, so that another list moves few groups.
+// homeOf is a group's home: the best draw by both hashes, weighed by size, so that a new list moves few groups.
 func (b *Balancer) homeOf(home uint64) int {
 	best, least := 0, math.Inf(1)
 	for k, i := range b.usable {
-		w := (home ^ b.servers[i].mark) * 0x9e3779b97f4a7c15
+		w := (home ^ b.servers[i].mark) * 0x9e3779b97f4a7c15 // both are hashes already: mixed once more
 		w = (w ^ w>>32) * 0xd6e8feb86659fd93
 		far := -math.Log((float64((w^w>>32)>>11)+0.5)/(1<<53)) / cmp.Or(b.servers[i].Size, 1)
 		if far < least {
@@ -685,8 +685,7 @@
 		if at := b.place(now, f); at >= 0 {
 			within := b.timeout(now, f)
 			b.hold(f, at)
-			f.tries++
-			f.sentAt = now
+			f.tries, f.sentAt = f.tries+1, now
 			f.asked = append(f.asked, at)
 			b.servers[at].spent++
 			return Decision{Do: Connect, Flow: id, Server: at, Within: within}, true
@@ -713,7 +712,7 @@
 		}
 		return f.load / b.usualLoad(f.kind)
 	}
-	var over []int
+	over := []int{}
 	for id := range b.flows {
 		if f := &b.flows[id]; f.open && !f.moved && f.load > 0 && b.tooMuch(f.at) {
 			over = append(over, id)
