List calls are spread by chance over the time that all nodes' calls may take

The first call waits for a part of Nodes x length / 500 lines a second, at most half of the time in which a node has to ask; gaps after a failure start there and double up to that time.

--- a/internal/lbwire/settings.go
+++ b/internal/lbwire/settings.go
@@ -16,6 +16,7 @@
 	} `json:"family_info"`
 	Tick       float64 `json:"granularity_us"`
 	Invariants struct {
+		AskWithin    float64 `json:"ask_within_us"`
 		ColdFrom     float64 `json:"cold_from"`
 		ColdFor      float64 `json:"cold_us"`
 		FallMultiple float64 `json:"fall_multiple"`
@@ -58,7 +59,7 @@
 	r := placement.Rundown{
 		Seed: seed, Nodes: whole(s.Siblings), Tick: span(s.Tick),
 		MaxConnects: whole(s.Limits.MaxConnects), Probes: s.Limits.Probes, Subscribe: s.Membership == "subscribe",
-		ColdFrom: s.Invariants.ColdFrom, ColdFor: span(s.Invariants.ColdFor),
+		AskWithin: span(s.Invariants.AskWithin), ColdFrom: s.Invariants.ColdFrom, ColdFor: span(s.Invariants.ColdFor),
 		FallMultiple: s.Invariants.FallMultiple, FallFor: span(s.Invariants.FallFor),
 		Reports: s.Reporting.Source == "on_probe",
 		Quotas:  s.FamilyInfo.Quotas,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,6 +30,8 @@
 	tightHold   = 2.0  // two delay notes' time
 	paceReturns = 2.5  // of what a blind node sees tight; 0.9 and 1.5 measured worse with 130 nodes
 	searchShare = 0.5  // of what comes back to a blind node goes to any server; 0.25 alike
+	listPace    = 500  // lines a second that any list service is trusted with
+	slack       = 1.1  // over a ceiling before connections are moved: loads swing by as much
 	probePace   = 0.5  // between probes of one server set aside
 )
 
@@ -61,7 +63,7 @@
 	live, owed       bool   // the index is in use; a final answer is due
 	out, open        bool   // a connect is out, or the connection it became; established
 	midFlow, moved   bool
-	homeward         bool    // it went to its group's home, not to its primary
+	side             int     // 1 when it went to its group's home, -1 to its primary
 	back             bool    // its last connection broke or was moved
 	due, sentAt      float64 // the final answer goes out before due
 	load             float64
@@ -149,14 +151,11 @@
 func (b *Balancer) List(now float64, kind ListKind, items []Listing) {
 	if kind == ListFailed {
 		b.follows = false
-		b.askGap = min(max(2*b.askGap, 0.5), 4)
+		b.askGap = min(max(2*b.askGap, 0.5, b.listTime()/2), max(b.AskWithin, 0.5))
 		b.askAt = now + b.askGap*(0.5+b.chance())
 		b.say("list call failed, next in %.1f s, %d servers known", b.askAt-now, len(b.base))
 		return
 	}
-	if kind != ListCached {
-		b.askGap = 0
-	}
 	if kind != ListChanges {
 		for i := range b.servers {
 			b.servers[i].listed = false
@@ -178,12 +177,20 @@
 			b.base = append(b.base, i)
 		}
 	}
+	if b.askGap = 0; kind == ListCached { // nodes that start together do not call together
+		b.askAt = now + b.chance()*b.listTime()
+	}
 	slices.SortFunc(b.base, func(x, y int) int { return cmp.Compare(b.servers[x].ID, b.servers[y].ID) })
 	if len(b.base) != before {
 		b.say("base list of %d servers, was %d", len(b.base), before)
 	}
 }
 
+// listTime is what all nodes' calls for the whole list may take, within the time in which each has to ask.
+func (b *Balancer) listTime() float64 {
+	return min(float64(b.Nodes*len(b.base))/listPace, b.AskWithin/2)
+}
+
 // ---- flows ----
 
 func mix(key uint64) uint64 {
@@ -200,7 +207,7 @@
 	key := cmp.Or(a.Key, a.Group, math.Float64bits(b.chance()))
 	b.flows[id] = flow{live: true, kind: min(max(a.Type, 0), len(b.Types)-1),
 		tenant: min(max(a.Tenant, 0), len(b.Quotas)), ca: mix(key), midFlow: a.MidFlow, back: a.Back,
-		load: a.Load, at: -1, ranAt: -1, asked: b.flows[id].asked[:0]}
+		load: max(a.Load, 0), side: -1, at: -1, ranAt: -1, asked: b.flows[id].asked[:0]}
 	if a.Group != 0 {
 		b.flows[id].home = mix(a.Group)
 	}
@@ -253,11 +260,7 @@
 // count keeps the open connections by member and by what placed them.
 func (b *Balancer) count(f *flow, by int) {
 	b.tenants[f.tenant] += by
-	if f.homeward {
-		b.atHome += by
-	} else {
-		b.atHome -= by
-	}
+	b.atHome += by * f.side
 }
 
 func (b *Balancer) usualLoad(kind int) float64 {
@@ -274,10 +277,7 @@
 
 // loadOf is what a flow is expected to ask: what its client asked last, what was told, or what is usual.
 func (b *Balancer) loadOf(f *flow) float64 {
-	if l := cmp.Or(b.loads[f.ca], b.older[f.ca], f.load); l > 0 {
-		return l
-	}
-	return b.usualLoad(f.kind)
+	return cmp.Or(b.loads[f.ca], b.older[f.ca], f.load, b.usualLoad(f.kind))
 }
 
 // overShare tells whether a member holds more here than this node's part of its share.
@@ -395,7 +395,7 @@
 
 // LoadNote takes the load of an open connection.
 func (b *Balancer) LoadNote(id int, load float64) {
-	if !b.known(id) || b.flows[id].moved {
+	if !b.known(id) || b.flows[id].moved || !(load >= 0) {
 		return
 	}
 	f := &b.flows[id]
@@ -584,16 +584,16 @@
 	}
 	full, load := max(spillFloor, spillFactor*mean), b.loadOf(f)
 	next := entry + 1
+	f.side = -1
 	if f.home != 0 {
 		next = b.homeOf(f.home) // a group shares its work: what spills goes on from the group's home
 		// What comes back had too much where it was, whichever node chose that: home, or anywhere, lest a node
 		// that sees little sends it where it was dropped. Others go home as strain is seen.
-		f.homeward = f.back || mid && b.atHome > 0 || !mid && b.chance() < b.strain
 		if f.back && !mid && b.chance() < searchShare*b.blind {
 			next = int(b.chance() * float64(m))
 		}
-		if f.homeward {
-			entry = next
+		if f.back || mid && b.atHome > 0 || !mid && b.chance() < b.strain {
+			entry, f.side = next, 1
 		}
 	}
 	spare := 1.0
@@ -699,9 +699,6 @@
 	return Decision{Do: Abort, Flow: id}, true
 }
 
-// tooMuch leaves a tenth of slack for swings.
-func (b *Balancer) tooMuch(at int) bool { return b.servers[at].work > 1.1*b.servers[at].ceiling }
-
 // excess moves connections off servers above their ceiling: members over their share first, then the heaviest
 // for their service type, so that none bears it alone. One a beat for each tenth of what a server holds.
 func (b *Balancer) excess() {
@@ -714,14 +711,14 @@
 	}
 	over := []int{}
 	for id := range b.flows {
-		if f := &b.flows[id]; f.open && !f.moved && f.load > 0 && b.tooMuch(f.at) {
+		if f := &b.flows[id]; f.open && !f.moved && f.load > 0 && b.servers[f.at].work > slack*b.servers[f.at].ceiling {
 			over = append(over, id)
 		}
 	}
 	slices.SortStableFunc(over, func(x, y int) int { return cmp.Compare(by(y), by(x)) })
 	for _, id := range over {
 		f := &b.flows[id]
-		if s := &b.servers[f.at]; b.tooMuch(f.at) && s.moves <= s.held/10 {
+		if s := &b.servers[f.at]; s.work > slack*s.ceiling && s.moves <= s.held/10 {
 			s.moves++
 			s.work -= f.load
 			f.load, f.moved = 0, true
--- a/placement/types.go
+++ b/placement/types.go
@@ -36,6 +36,7 @@
 	Probes       bool
 	RetryAdvice  float64 // longest retry time a client follows; 0 where none is allowed
 	Subscribe    bool    // the list must be asked for
+	AskWithin    float64 // at least this often, without a subscription
 	Reports      bool    // probes bring load reports
 	ColdFrom     float64 // share of its capacity a server starts with
 	ColdFor      float64 // warm after this at the latest
