--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 )
 
@@ -458,6 +459,116 @@
 	}
 }
 
+// Nodes that start together do not call a slow list service together, and wait longer after each refusal.
+func TestListCallsSpread(t *testing.T) {
+	for _, c := range []struct {
+		nodes, servers int
+		widest         float64 // the first calls come within this, and over most of it
+	}{{1, 10, 0.02}, {30, 100, 5}, {160, 1000, 5}} {
+		first, last := math.Inf(1), 0.0
+		for seed := range 60 {
+			b := New(Rundown{Seed: uint64(seed), Nodes: c.nodes, Subscribe: true, AskWithin: 10})
+			var list []Listing
+			for i := range c.servers {
+				list = append(list, Listing{Server: i, ID: uint32(i), State: Ready})
+			}
+			b.List(0, ListCached, list)
+			first, last = min(first, b.askAt), max(last, b.askAt)
+			gap := 0.0
+			for range 6 {
+				b.List(0, ListFailed, nil)
+				if b.askGap < gap || b.askGap > 10 || b.askAt <= 0 {
+					t.Fatalf("%d nodes: gap %.2f s after %.2f s", c.nodes, b.askGap, gap)
+				}
+				gap = b.askGap
+			}
+		}
+		if last > c.widest || last-first < 0.7*min(c.widest, float64(c.nodes*c.servers)/listPace) {
+			t.Errorf("%d nodes, %d servers: first calls from %.2f to %.2f s", c.nodes, c.servers, first, last)
+		}
+	}
+}
+
+// Whatever comes in, every flow gets one answer and nothing panics.
+func TestOddInput(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tune func(*Rundown)
+		n    int
+		odd  func(*rig)
+	}{
+		{"no server", nil, 0, nil},
+		{"a thousand servers", nil, 1000, nil},
+		{"no nodes, members, types or connects told", func(r *Rundown) { *r = Rundown{} }, 20, nil},
+		{"a member and a type that were not told", func(r *Rundown) { r.Quotas = []float64{1} }, 20, nil},
+		{"ids that were never given", nil, 20, func(g *rig) {
+			for _, id := range []int{-1, 0, 9999} {
+				g.Established(id, 0, 0)
+				g.Ended(g.now, id, 0, Broken, true)
+				g.Left(id)
+				g.LoadNote(id, 1)
+				g.DelayNote(g.now, id, 9)
+				g.Probed(g.now, id, Served, Report{Load: 1})
+			}
+		}},
+		{"a load that is no number", nil, 20, func(g *rig) { g.LoadNote(905, math.NaN()) }},
+		{"a server that is back under a new start time", nil, 20, func(g *rig) {
+			again := g.entry(3, Ready)
+			again.Since = g.now
+			g.List(g.now, ListChanges, []Listing{again, again})
+		}},
+		{"an empty list, then the whole one", nil, 20, func(g *rig) {
+			g.List(g.now, ListFull, nil)
+			g.pass(1)
+			g.List(g.now, ListFull, []Listing{g.entry(1, Ready)})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(c.n, c.tune)
+			g.load(0, 10)
+			if c.odd != nil {
+				c.odd(g)
+			}
+			for id := range 50 {
+				d, _ := g.arrive(id, Arrival{Type: 7 * id, Tenant: id, Key: uint64(id % 3), Group: uint64(id % 2), Back: id%5 == 0})
+				if d.Do == Connect {
+					g.Established(id, 0, 0)
+					g.Established(id, 0, 0) // once more: it counts once
+				} else if d.Do != Reject && d.Do != Abort {
+					t.Fatalf("flow %d got no answer", id)
+				}
+				g.pass(beat)
+			}
+			if c.n > 0 && math.IsNaN(g.servers[20].work) {
+				t.Fatal("the load held is no number")
+			}
+		})
+	}
+}
+
+// What a flow and a beat cost per server held in view must not grow: compare the figures of 10, 100 and 1,000.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			g := newRig(n, nil)
+			g.fill(0, 4*n)
+			for i := range g.servers {
+				g.servers[i].ceiling = g.servers[i].work / 2 // every beat looks for connections to move
+			}
+			b.ReportAllocs()
+			for id := 4 * n; b.Loop(); id++ {
+				g.now += beat
+				g.Woken(g.now)
+				if d, _ := g.arrive(4*n, Arrival{Key: uint64(id + 1), Group: uint64(id%n + 1)}); d.Do == Connect {
+					g.Ended(g.now, 4*n, 0, Broken, true)
+				}
+				g.Idle(4 * n)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/op/server")
+		})
+	}
+}
+
 func TestChance(t *testing.T) {
 	a, b := newRig(0, nil), newRig(0, func(r *Rundown) { r.Seed = 8 })
 	var bins [10]int
