--- a/placement/placement.go
+++ b/placement/placement.go
@@ -644,9 +644,7 @@
 func (b *Balancer) homeOf(home uint64) int {
 	best, least := 0, math.Inf(1)
 	for k, i := range b.usable {
-		w := (home ^ b.servers[i].mark) * 0x9e3779b97f4a7c15 // both are hashes already: mixed once more
-		w = (w ^ w>>32) * 0xd6e8feb86659fd93
-		far := -math.Log((float64((w^w>>32)>>11)+0.5)/(1<<53)) / cmp.Or(b.servers[i].Size, 1)
+		far := -math.Log((float64(mix(home^b.servers[i].mark)>>11)+0.5)/(1<<53)) / cmp.Or(b.servers[i].Size, 1)
 		if far < least {
 			best, least = k, far
 		}
