A node that holds few connections a server sends on sooner from a group's home

Cause: twenty-five nodes that each leave up to three of a group at its home jam it in the first seconds. At a home a node keeps to twice its mean held, one at the least, where that is under the spill's cap.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,6 +32,7 @@
 	searchShare = 0.5  // of what comes back to a blind node goes to any server; 0.25 alike
 	listPace    = 500  // lines a second that any list service is trusted with
 	slack       = 1.1  // over a ceiling before connections are moved: loads swing by as much
+	homeFactor  = 2.0  // of the mean held; 1.25 and 3 measured worse
 	probePace   = 0.5  // between probes of one server set aside
 )
 
@@ -593,7 +594,8 @@
 			next = int(b.chance() * float64(m))
 		}
 		if f.back || mid && b.atHome > 0 || !mid && b.chance() < b.strain {
-			entry, f.side = next, 1
+			// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
+			entry, f.side, full = next, 1, min(full, math.Ceil(max(1, homeFactor*mean))-1)
 		}
 	}
 	spare := 1.0
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -28,6 +28,10 @@
 		{"back after a break: the group's home", nil, Arrival{Key: key, Group: groupFor(4, 5), Back: true}, 4},
 		{"jams seen: the group's home at once", func(g *rig) { g.strain = 1 },
 			Arrival{Key: key, Group: groupFor(4, 5)}, 4},
+		{"jams seen, this node has one at the home of few: it goes on", func(g *rig) {
+			g.strain = 1
+			g.load(4, 1)
+		}, Arrival{Key: key, Group: groupFor(4, 5)}, 0},
 		{"quiet for long: the primary, group or not", nil, Arrival{Key: key, Group: groupFor(4, 5)}, 2},
 		{"mid-flow, most of this node's own at their primary", func(g *rig) { g.strain = 1 },
 			Arrival{Key: key, Group: groupFor(4, 5), MidFlow: true}, 2},
@@ -232,7 +236,8 @@
 		g.tight, g.blind = c.tight, c.blind
 		rejects := 0
 		for id := range 100 {
-			if d, _ := g.arrive(id, Arrival{Key: uint64(id + 1), Group: 7, Back: c.back}); d.Do == Reject && d.Within > 0 {
+			d, _ := g.arrive(id, Arrival{Key: uint64(id + 1), Group: 7, Back: c.back})
+			if d.Do == Reject && d.Within > 0 {
 				rejects++
 			}
 		}
