--- a/placement/placement.go
+++ b/placement/placement.go
@@ -642,11 +642,11 @@
 	return best
 }
 
-// homeOf is a group's home: the best draw by both hashes, weighed by size, so that a new list moves few groups.
+// homeOf is a group's home: the least draw by both hashes over the size, so that a new list moves few groups.
 func (b *Balancer) homeOf(home uint64) int {
 	best, least := 0, math.Inf(1)
 	for k, i := range b.usable {
-		far := -math.Log((float64(mix(home^b.servers[i].mark)>>11)+0.5)/(1<<53)) / cmp.Or(b.servers[i].Size, 1)
+		far := float64(mix(home^b.servers[i].mark)>>11) / cmp.Or(b.servers[i].Size, 1)
 		if far < least {
 			best, least = k, far
 		}
