--- a/placement/placement.go
+++ b/placement/placement.go
@@ -646,7 +646,7 @@
 func (b *Balancer) homeOf(home uint64) int {
 	best, least := 0, math.Inf(1)
 	for k, i := range b.usable {
-		far := float64(mix(home^b.servers[i].mark)>>11) / cmp.Or(b.servers[i].Size, 1)
+		far := float64(^mix(home^b.servers[i].mark)) / cmp.Or(b.servers[i].Size, 1)
 		if far < least {
 			best, least = k, far
 		}
