--- a/placement/placement.go
+++ b/placement/placement.go
@@ -567,38 +567,42 @@
 		t.Effect == Referenced && t.Group == GroupAll && now+away < f.ranAt+t.MemorySpan
 }
 
+// enter gives the places among the usable servers where a flow enters and where it goes on, and the cap there.
+func (b *Balancer) enter(f *flow, mid bool, mean float64) (entry, next int, full float64) {
+	m := len(b.usable)
+	if entry = slices.Index(b.usable, b.base[f.ca%uint64(len(b.base))]); entry < 0 {
+		entry = int(f.ca % uint64(m))
+	}
+	next, full, f.side = entry+1, max(spillFloor, spillFactor*mean), -1
+	if f.home == 0 {
+		return entry, next, full
+	}
+	next = b.homeOf(f.home) // a group shares its work: what spills goes on from the group's home
+	// What comes back had too much where it was, whichever node chose that: home, or anywhere, lest a node that
+	// sees little sends it where it was dropped. Others go home as strain is seen.
+	if f.back && !mid && b.chance() < searchShare*b.blind {
+		next = int(b.chance() * float64(m))
+	}
+	if f.back || mid && b.atHome > 0 || !mid && b.chance() < b.strain {
+		// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
+		entry, f.side, full = next, 1, min(full, math.Ceil(max(1, homeFactor*mean))-1)
+	}
+	return entry, next, full
+}
+
 // place walks the design's path and returns a server, or -1.
 func (b *Balancer) place(now float64, f *flow) int {
 	mid := f.midFlow && f.tries == 0
 	b.survey(now, mid)
-	m := len(b.usable)
+	m, mean := len(b.usable), 0.0
 	if m == 0 {
 		return -1
 	}
-	mean := 0.0
 	for _, i := range b.usable {
 		mean += float64(b.servers[i].held) / float64(m)
 	}
-	entry := slices.Index(b.usable, b.base[f.ca%uint64(len(b.base))])
-	if entry < 0 {
-		entry = int(f.ca % uint64(m))
-	}
-	full, load := max(spillFloor, spillFactor*mean), b.loadOf(f)
-	next := entry + 1
-	f.side = -1
-	if f.home != 0 {
-		next = b.homeOf(f.home) // a group shares its work: what spills goes on from the group's home
-		// What comes back had too much where it was, whichever node chose that: home, or anywhere, lest a node
-		// that sees little sends it where it was dropped. Others go home as strain is seen.
-		if f.back && !mid && b.chance() < searchShare*b.blind {
-			next = int(b.chance() * float64(m))
-		}
-		if f.back || mid && b.atHome > 0 || !mid && b.chance() < b.strain {
-			// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
-			entry, f.side, full = next, 1, min(full, math.Ceil(max(1, homeFactor*mean))-1)
-		}
-	}
-	spare := 1.0
+	entry, next, full := b.enter(f, mid, mean)
+	spare, load := 1.0, b.loadOf(f)
 	if b.overShare(f.tenant) {
 		spare = 0.8 // what is scarce goes first to members within their share
 	}
