--- a/placement/placement.go
+++ b/placement/placement.go
@@ -218,8 +218,7 @@
 // Flow takes an arriving flow, which is owed one final answer.
 func (b *Balancer) Flow(now float64, id int, a Arrival) {
 	f := b.take(id, a)
-	f.owed = true
-	f.due = now + a.Left - 3*b.Tick // so that the answer is out before the client gives up
+	f.owed, f.due = true, now+a.Left-3*b.Tick // so that the answer is out before the client gives up
 	b.todo = append(b.todo, id)
 }
 
@@ -377,10 +376,9 @@
 		b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 	}
 	if s.bad/(s.bad+s.good) > 0.2+2*common && !s.aside && s.listed && out <= max(1, ready/3) {
-		s.aside, s.answers = true, 0
+		s.aside, s.answers, s.probeAt = true, 0, now+s.hold
 		b.say("server %d set aside for %.1f s: %.1f failures to %.1f established, %d of %d out", s.ID, s.hold,
 			s.bad, s.good, out, ready)
-		s.probeAt = now + s.hold
 		s.hold = min(2*s.hold, longestHold)
 	}
 }
@@ -456,6 +454,9 @@
 	}
 }
 
+// believed is how long a report counts: until the next is due, in a time that grows with the nodes that ask.
+func (b *Balancer) believed() float64 { return max(reportLife, 1.25*probePace*float64(b.Nodes)) }
+
 // Woken takes a wake that was asked for.
 func (b *Balancer) Woken(now float64) {
 	if now >= b.beatAt-b.Tick {
@@ -485,7 +486,7 @@
 	for i := range b.servers {
 		s := &b.servers[i]
 		s.moves = 0
-		if now-s.cutAt > jamHold && now-s.toldAt > reportLife {
+		if now-s.cutAt > jamHold && now-s.toldAt > b.believed() {
 			s.ceiling *= 1.02
 		}
 		if s.held > 0 {
@@ -622,7 +623,7 @@
 			return at
 		}
 		need := fits
-		if now-s.toldAt < reportLife {
+		if now-s.toldAt < b.believed() {
 			need = load // a ceiling from reports is exact enough to fill
 		}
 		if s.work+need > spare*s.ceiling || now-s.jamAt < jamHold {
@@ -713,7 +714,7 @@
 		}
 		return f.load / b.usualLoad(f.kind)
 	}
-	over := []int{}
+	var over []int
 	for id := range b.flows {
 		if f := &b.flows[id]; f.open && !f.moved && f.load > 0 && b.servers[f.at].work > slack*b.servers[f.at].ceiling {
 			over = append(over, id)
@@ -761,7 +762,7 @@
 		}
 		s.probeAt = now + probePace*(0.75+0.5*b.chance())
 		if !s.aside {
-			s.probeAt += 0.5 * float64(b.Nodes)
+			s.probeAt += probePace * float64(b.Nodes)
 		}
 		if b.Probes {
 			s.probing = true
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -422,13 +422,23 @@
 }
 
 func TestReportCeiling(t *testing.T) {
-	g := newRig(3, func(r *Rundown) { r.Reports = true })
-	g.load(1, 10)
-	for range 20 {
-		g.Probed(g.now, 19, Served, Report{Load: 1.2})
-	}
-	if _, at := g.arrive(0, Arrival{Key: keyFor(1, 3)}); at == 1 {
-		t.Fatal("sent to a server whose report tells of too much load")
+	for _, c := range []struct {
+		nodes int
+		later float64
+		used  bool // the server takes flows again
+	}{{2, 0, false}, {2, 60, true}, {30, 15, false}, {30, 120, true}} { // many nodes ask less often and believe for longer
+		g := newRig(3, func(r *Rundown) { r.Reports, r.Nodes = true, c.nodes })
+		g.load(1, 10)
+		for range 20 {
+			g.Probed(g.now, 19, Served, Report{Load: 1.2})
+		}
+		for end := g.now + c.later; g.now < end; g.now += beat {
+			g.Woken(g.now)
+		}
+		g.servers[19].held = 0 // so that the spill does not decide
+		if _, at := g.arrive(0, Arrival{Key: keyFor(1, 3)}); (at == 1) != c.used {
+			t.Errorf("%d nodes, %.0f s after a report of too much load: sent to place %d", c.nodes, c.later, at)
+		}
 	}
 }
 
