--- a/placement/helper_test.go
+++ b/placement/helper_test.go
@@ -14,7 +14,7 @@
 		tune(&r)
 	}
 	g := &rig{New(r), 1000}
-	g.strain = 0 // as after a quiet half minute
+	g.strain = 0 // as after some quiet minutes
 	var list []Listing
 	for i := range n {
 		list = append(list, g.entry(i, Ready))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,7 +26,7 @@
 	firstHold   = 1.0  // a server set aside is left alone this long, doubled each time it comes back to fail
 	longestHold = 16.0 // so that a mended server is missed for no longer than it takes to notice
 	strainRise  = 2.0  // a second, by the share of servers seen tight: a jam is met within a second or so
-	strainFade  = 20.0 // so that a quiet half minute brings the ordinary path back; 60 measured alike
+	strainFade  = 20.0 // so that a quiet minute brings the ordinary path back; 60 measured alike
 	tightHold   = 2.0  // two delay notes' time
 	paceReturns = 2.5  // of what a blind node sees tight; 0.9 and 1.5 measured worse with 130 nodes
 	searchShare = 0.5  // of what comes back to a blind node goes to any server; 0.25 alike
