--- a/placement/placement.go
+++ b/placement/placement.go
@@ -45,7 +45,7 @@
 	ceiling                 float64 // of work, once it was seen to be too much; infinite before
 	cutAt                   float64 // when the ceiling was last lowered, and when a report last set it
 	toldAt                  float64
-	jamAt                   float64 // last seen in a jam, last turned a connect away: it takes nothing new for a while
+	jamAt                   float64 // last in a jam, last turned a connect away: nothing new for a while
 	fullAt                  float64
 	bad, good               float64 // failures and connects established of late
 	aside                   bool
