--- /dev/null
+++ b/cmd/gorseledge/main.go
@@ -0,0 +1,46 @@
+// Command gorseledge is one real node: it places long-lived connections of clients on hosts.
+package main
+
+import (
+	"context"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"gorseledge/internal/sockets"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	out := diode.NewWriter(os.Stderr, 4096, 10*time.Millisecond, nil) // a slow reader of the log holds nothing up
+	defer out.Close()
+	log := zerolog.New(out).With().Timestamp().Logger()
+	config, err := sockets.ReadConfig()
+	if err != nil {
+		log.Error().Err(err).Msg("not started")
+		return 1
+	}
+	log = log.With().Str("node", config.Name).Logger()
+	runtime.GOMAXPROCS(max(int(math.Ceil(config.Limits.Cores)), 1))
+	if mb := config.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(mb << 20 / 10 * 7) // what lies outside the heap needs the rest
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	if err := sockets.Run(context.Background(), config, log, stop); err != nil {
+		log.Error().Err(err).Msg("failed")
+		return 1
+	}
+	log.Info().Msg("left")
+	return 0
+}
--- a/internal/lbwire/link.go
+++ b/internal/lbwire/link.go
@@ -11,6 +11,7 @@
 	"math"
 	"slices"
 
+	"gorseledge/internal/rundown"
 	"gorseledge/placement"
 )
 
@@ -18,6 +19,7 @@
 	headLen, eventLen, entryLen = 16, 48, 22
 	replyHeadLen, actionLen     = 8, 16
 	longestFrame                = 1 << 28
+	micro                       = 1e-6
 )
 
 var be = binary.BigEndian
@@ -204,11 +206,12 @@
 		if err != nil {
 			return err
 		}
-		r, fields, err := readStart(text, be.Uint64(rec[3:]))
+		r, door, err := rundown.Read(text, be.Uint64(rec[3:]))
 		if err != nil {
 			return err
 		}
-		l.nodes[no] = &instance{b: placement.New(r), fields: fields, flows: map[uint32]int{}, servers: map[uint32]int{}}
+		l.nodes[no] = &instance{b: placement.New(r), fields: door.Fields, flows: map[uint32]int{},
+			servers: map[uint32]int{}}
 		l.order = append(l.order, no)
 		return nil
 	case evStop:
--- /dev/null
+++ b/internal/node/connect.go
@@ -0,0 +1,263 @@
+package node
+
+import (
+	"gorseledge/internal/line"
+	"gorseledge/placement"
+)
+
+// connect sends a flow's first line to a host.
+func (n *Node) connect(f *flow, at int, within float64) {
+	f.try++
+	f.on, f.out, f.sent, f.sentAt = at, true, false, n.now
+	if !n.affords(1) {
+		n.connectOver(f, placement.NeverSent)
+		return
+	}
+	f.host = n.dial(server, at, f.opening.Within(f.first, within), within)
+	f.host.flow = f
+}
+
+// words that a host may answer with, and what each says of the connect.
+var answers = map[line.Word]placement.Outcome{
+	line.Bye:  placement.Served,
+	line.Move: placement.CalledOff,
+	line.Err:  placement.Errored,
+	line.Busy: placement.Full,
+}
+
+// outcome of a connect that a host answered with something other than its receipt; what is not known may have run.
+func outcome(word line.Word) placement.Outcome {
+	if how, ok := answers[word]; ok {
+		return how
+	}
+	return placement.Errored
+}
+
+// broken is the outcome of a connect that broke, ended or was never answered: whether it may have run turns on
+// whether the last byte of its line was written.
+func broken(sent, silent bool) placement.Outcome {
+	switch {
+	case !sent:
+		return placement.Unreached
+	case silent:
+		return placement.Unanswered
+	}
+	return placement.Broken
+}
+
+// connectOver tells the module how a connect ended that did not become a connection.
+func (n *Node) connectOver(f *flow, how placement.Outcome) {
+	if f.host != nil {
+		n.close(f.host, false)
+	}
+	f.out = false
+	if f.carried {
+		n.module.Ended(n.now, f.id, f.try, how, true)
+		if how == placement.Full || how == placement.Unreached || how == placement.NeverSent {
+			n.answer(f.client, line.BusyLine(0), NotCarried)
+		} else {
+			n.answer(f.client, []byte(line.ErrLine), NotCarried)
+		}
+		return
+	}
+	n.module.Ended(n.now, f.id, f.try, how, how == placement.Served)
+	n.touched = append(n.touched, f.id)
+	if how == placement.Served { // it ran to its end before it was up: nothing of it can be passed on
+		n.answer(f.client, []byte(line.ErrLine), Served)
+	}
+}
+
+// hostLine takes a line of a host and tells whether it is to be passed on.
+func (n *Node) hostLine(c *conn, text []byte) bool {
+	f := c.flow
+	word, rest := line.Split(text)
+	if !f.established {
+		if word != line.Up {
+			n.connectOver(f, outcome(word))
+			return false
+		}
+		c.calm()
+		f.established, f.setup = true, n.now-f.client.since
+		if !f.carried {
+			n.module.Established(f.id, f.try, n.now-f.sentAt)
+		}
+		n.scan(f.client)
+		return true
+	}
+	switch word {
+	case line.Load:
+		if load, ok := line.LoadOf(rest); ok {
+			n.module.LoadNote(f.id, load)
+		}
+	case line.Bye, line.Move:
+		f.last = word
+		n.wait(c, lingering)
+	default:
+		n.lineBack(f)
+	}
+	return true
+}
+
+// lineBack measures how long a message took.
+func (n *Node) lineBack(f *flow) {
+	if len(f.waits) == 0 {
+		return
+	}
+	n.module.DelayNote(n.now, f.id, n.now-f.waits[0])
+	f.waits = append(f.waits[:0], f.waits[1:]...)
+	if f.last != line.Other || f.host.finish != Open {
+		return
+	}
+	f.host.calm()
+	if len(f.waits) > 0 {
+		n.wait(f.host, f.waits[0]+silentAfter-n.now)
+	}
+}
+
+func (n *Node) dialedUp(c *conn, err error) {
+	if err != nil {
+		n.broke(c)
+		return
+	}
+	c.up = true
+	n.flush(c)
+	n.read(c)
+}
+
+// halfOpen tells whether c's client has ended its sending while the host may still speak.
+func (n *Node) halfOpen(c *conn) bool { return c.role == server && c.finish == Ended && !c.flow.over }
+
+// farEnded takes the good end of the far side's sending and ends the other side in the same way.
+func (n *Node) farEnded(c *conn) {
+	f := c.flow
+	switch {
+	case c.role == probe:
+		n.broke(c)
+	case c.role == client && f == nil:
+		if c.finish == Open && c.reason == "" {
+			c.reason, c.finish = NoLine, Ended
+			if c.checked {
+				c.reason = Checked
+			}
+		}
+		n.flush(c)
+		if !c.closed && c.shut {
+			n.close(c, false)
+		}
+	case c.role == client && f.over:
+		if c.shut || c.writing == 0 {
+			n.close(c, false)
+		}
+	case c.role == client && !f.established:
+		n.left(f)
+	case c.role == client:
+		c.reason = ClientEnded
+		f.host.finish = Ended
+		n.wait(f.host, endWait)
+		n.flush(f.host)
+	case !f.established:
+		n.connectOver(f, broken(f.sent, false))
+	default:
+		n.hostEnded(f)
+	}
+}
+
+// hostEnded ends a flow whose host has ended it; its last words go to the client first.
+func (n *Node) hostEnded(f *flow) {
+	n.close(f.host, false)
+	switch {
+	case f.last == line.Bye:
+		n.finished(f, Ended, Served, placement.Served)
+	case f.last == line.Move:
+		n.finished(f, Ended, SentAway, placement.CalledOff)
+	case f.client.reason == ClientEnded:
+		n.finished(f, Ended, ClientEnded, placement.CalledOff)
+	default:
+		n.finished(f, Ended, HostEnded, placement.Broken)
+	}
+}
+
+// left takes a client that does not wait for its answer.
+func (n *Node) left(f *flow) {
+	f.client.reason = ClientLeft
+	f.over = true
+	n.module.Left(f.id)
+	if f.out {
+		f.out = false
+		n.close(f.host, false)
+		n.module.Ended(n.now, f.id, f.try, placement.CalledOff, true)
+	}
+	n.touched = append(n.touched, f.id)
+	n.close(f.client, false)
+}
+
+// broke takes a connection that broke, or never came up.
+func (n *Node) broke(c *conn) {
+	f := c.flow
+	c.ended = Broken
+	switch {
+	case c.role == probe:
+		n.probed(c, broken(c.up && len(c.own) == 0, false), placement.Report{Load: -1})
+	case c.role == client && (f == nil || f.over):
+		if c.reason == "" {
+			c.reason = ClientReset
+		}
+		n.close(c, false)
+	case c.role == client && !f.established:
+		n.left(f)
+	case c.role == client:
+		c.reason = ClientReset
+		n.close(f.host, true)
+		n.close(c, false)
+		n.finished(f, Broken, ClientReset, placement.CalledOff)
+	case !f.established:
+		n.connectOver(f, broken(f.sent, false))
+	default:
+		n.close(c, false)
+		n.finished(f, Broken, HostReset, placement.Broken)
+	}
+}
+
+// overdue looks at a connection that waited long enough.
+func (n *Node) overdue(c *conn) {
+	f := c.flow
+	switch {
+	case c.role == probe:
+		n.probed(c, broken(c.up && len(c.own) == 0, true), placement.Report{Load: -1})
+	case c.role == client:
+		if c.reason == "" {
+			c.reason = NoLine
+			if c.checked {
+				c.reason = Checked
+			}
+		}
+		n.close(c, false)
+	case !f.established:
+		n.connectOver(f, broken(f.sent, true))
+	case f.last != line.Other || c.finish != Open:
+		n.hostEnded(f) // it said so, or its client did: the end itself is late
+	case c.shut:
+		n.broke(c)
+	case len(f.waits) > 0 && c.in.Room() > 0:
+		n.move(f, HostSilent, placement.Broken)
+	}
+}
+
+// overlong ends what a too long line came on.
+func (n *Node) overlong(c *conn) {
+	f := c.flow
+	switch {
+	case c.role == probe:
+		n.probed(c, placement.Errored, placement.Report{Load: -1})
+	case f == nil:
+		n.answer(c, []byte(line.ErrLine), ClientOdd)
+	case c.role == server && !f.established:
+		n.connectOver(f, placement.Errored)
+	case c.role == server:
+		n.close(c, true)
+		n.finished(f, Ended, HostOdd, placement.Broken)
+	default:
+		n.close(f.host, true)
+		n.finished(f, Ended, ClientOdd, placement.CalledOff)
+	}
+}
--- /dev/null
+++ b/internal/node/effects.go
@@ -0,0 +1,125 @@
+package node
+
+import "gorseledge/internal/discovery/roster"
+
+// Conn names a connection. The door numbers those it accepts with odd numbers, the core those it dials with even ones.
+type Conn uint64
+
+// End says what the far side of a connection did to its sending.
+type End uint8
+
+// The ways in which a connection's sending stands or stops.
+const (
+	Open   End = iota
+	Ended      // in good order
+	Broken     // by a reset or any other failure
+)
+
+// Input is one thing that happened outside.
+type Input interface{ input() }
+
+// What can happen outside.
+type (
+	// Accepted is a client's new connection.
+	Accepted struct{ Conn Conn }
+	// Dialed is the result of a Dial.
+	Dialed struct {
+		Conn Conn
+		Err  error
+	}
+	// Got is the result of a Read: N bytes stand in its buffer, and what came after them.
+	Got struct {
+		Conn Conn
+		N    int
+		End  End
+	}
+	// Wrote is the result of a Write: N bytes are with the system.
+	Wrote struct {
+		Conn   Conn
+		N      int
+		Failed bool
+	}
+	// Closed says that a connection's descriptor is free again.
+	Closed struct{ Conn Conn }
+	// Listed is what discovery told.
+	Listed struct{ List roster.List }
+	// Unlisted says that the watch has failed or ended.
+	Unlisted struct{ Why string }
+	// Tick comes when a Timer is due; it may come at any time.
+	Tick struct{}
+	// Leave asks the node to go.
+	Leave struct{}
+)
+
+func (Accepted) input() {}
+func (Dialed) input()   {}
+func (Got) input()      {}
+func (Wrote) input()    {}
+func (Closed) input()   {}
+func (Listed) input()   {}
+func (Unlisted) input() {}
+func (Tick) input()     {}
+func (Leave) input()    {}
+
+// Effect is one thing that the core asks for.
+type Effect interface{ effect() }
+
+// What the core asks for. A connection has at most one Read and one Write under way; their buffers are not touched
+// by the core until the result is in.
+type (
+	// Dial opens a connection, answered by Dialed.
+	Dial struct {
+		Conn    Conn
+		Address string
+		Within  float64
+	}
+	// Read fills some of Into, answered by Got.
+	Read struct {
+		Conn Conn
+		Into []byte
+	}
+	// Write sends all of Data, answered by Wrote.
+	Write struct {
+		Conn Conn
+		Data []byte
+	}
+	// Shut ends the sending on a connection.
+	Shut struct{ Conn Conn }
+	// Close ends a connection, answered by Closed; Reset breaks it off.
+	Close struct {
+		Conn  Conn
+		Reset bool
+	}
+	// Watch asks discovery for what changed after Index, and on from there.
+	Watch struct{ Index int64 }
+	// Timer asks for a Tick at a time.
+	Timer struct{ At float64 }
+	// Note is a line of the log.
+	Note struct{ Line string }
+	// Done is the log line of a client's connection that ended.
+	Done struct{ Record Record }
+	// Exit says that nothing is left to do.
+	Exit struct{}
+)
+
+func (Dial) effect()  {}
+func (Read) effect()  {}
+func (Write) effect() {}
+func (Shut) effect()  {}
+func (Close) effect() {}
+func (Watch) effect() {}
+func (Timer) effect() {}
+func (Note) effect()  {}
+func (Done) effect()  {}
+func (Exit) effect()  {}
+
+// Record is what the log keeps of a client's connection.
+type Record struct {
+	Reason   Reason
+	Type     string
+	Host     string
+	Connects int
+	Lasted   float64 // seconds since it was accepted
+	Setup    float64 // seconds from the first line until it was established, 0 if it never was
+	Up, Down uint64  // bytes from the client and to it
+}
--- /dev/null
+++ b/internal/node/flow.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"errors"
+
+	"gorseledge/internal/line"
+	"gorseledge/placement"
+)
+
+const (
+	silentAfter = 4.5 // a line that had none back for this long: the host is gone, or it is no use
+	endWait     = 3.0 // for a host to end what its client has ended
+	spareFew    = 8   // descriptors kept for saying no
+)
+
+// flow is one client's wish for a connection, from its first line on.
+type flow struct {
+	id           int // the module's index
+	kind         int
+	client, host *conn // host: of the present connect, or the last
+	first        []byte
+	opening      line.Opening
+	carried      bool // was open at its host before this node started
+	try          int  // number of the present connect, from 0
+	on           int  // its host
+	out          bool // a connect is out, or what it became
+	sent         bool // its line is written to the last byte
+	established  bool
+	over         bool
+	last         line.Word // what the host said before its end
+	sentAt       float64
+	setup        float64
+	waits        []float64 // when lines went to the host that had none back
+}
+
+// affords tells whether that many more descriptors can be had, beside those that open flows still need.
+func (n *Node) affords(more int) bool {
+	return n.descriptors+more+spareFew <= n.limit
+}
+
+// clientLine takes a line of a client and tells whether it is to be passed on.
+func (n *Node) clientLine(c *conn, text []byte) bool {
+	if f := c.flow; f != nil {
+		if len(f.waits) == 0 {
+			n.wait(f.host, silentAfter)
+		}
+		f.waits = append(f.waits, n.now)
+		return true
+	}
+	if word, _ := line.Split(text); word == line.Ping {
+		c.checked = true
+		c.own = append(c.own, line.ErrLine...)
+		if n.isReady() {
+			c.own = append(c.own[:len(c.own)-len(line.ErrLine)], line.PongLine...)
+		}
+		n.wait(c, checkWait)
+		n.flush(c)
+		return false
+	}
+	n.open(c, text)
+	return false
+}
+
+// open takes a first line: it is refused here for what is wrong with it, or a flow begins.
+func (n *Node) open(c *conn, text []byte) {
+	c.calm()
+	o, err := line.ParseOpening(text)
+	kind, known := n.types[o.Type]
+	switch {
+	case errors.Is(err, line.ErrTimeout):
+		n.answer(c, []byte(line.ErrLine), NoTimeout)
+	case err != nil:
+		n.answer(c, []byte(line.ErrLine), BadLine)
+	case !known:
+		n.answer(c, []byte(line.ErrLine), UnknownType)
+	case !n.affords(1):
+		n.answer(c, line.BusyLine(0), NoSockets)
+	case n.leaving && !n.door.PassThrough:
+		n.answer(c, line.BusyLine(0), Leaving)
+	default:
+		n.begin(c, &flow{client: c, kind: kind, try: -1, opening: o, first: append([]byte(nil), text...)})
+	}
+}
+
+func (n *Node) begin(c *conn, f *flow) {
+	at, listed := n.byName[f.opening.At]
+	if f.opening.At != "" && (!listed || n.hosts[at].address == "") {
+		n.answer(c, line.BusyLine(0), UnknownHost)
+		return
+	}
+	if free := len(n.free); free > 0 {
+		f.id, n.free = n.free[free-1], n.free[:free-1]
+		n.flows[f.id] = f
+	} else {
+		f.id, n.flows = len(n.flows), append(n.flows, f)
+	}
+	c.flow = f
+	tenant, known := n.tenants[f.opening.Tenant]
+	if !known {
+		tenant = len(n.door.Tenants) // a member without a share
+	}
+	a := placement.Arrival{Type: f.kind, Tenant: tenant, Key: f.opening.Key, Group: f.opening.Group,
+		Left: f.opening.Timeout, Load: f.opening.Load, MidFlow: f.opening.MidFlow, Back: f.opening.Back}
+	if f.opening.At == "" {
+		n.module.Flow(n.now, f.id, a)
+		return
+	}
+	f.carried = true
+	n.module.Carried(n.now, f.id, a, at)
+	n.connect(f, at, f.opening.Timeout)
+}
+
+// answer says the last words to a client that is not established and ends its connection.
+func (n *Node) answer(c *conn, words []byte, why Reason) {
+	c.reason = why
+	c.own = append(c.own, words...)
+	c.finish = Ended
+	if c.flow != nil {
+		c.flow.over = true
+		n.touched = append(n.touched, c.flow.id)
+	}
+	n.flush(c)
+}
+
+func (n *Node) reject(f *flow, away float64) { n.answer(f.client, line.BusyLine(away), Rejected) }
+
+func (n *Node) abort(f *flow) { n.answer(f.client, []byte(line.ErrLine), Aborted) }
+
+// move tells an established client to come again and ends both sides. What the host said in whole lines goes first.
+func (n *Node) move(f *flow, why Reason, how placement.Outcome) {
+	if !f.established || f.over {
+		return
+	}
+	n.close(f.host, false)
+	f.client.own = append(f.client.own, line.MoveLine...)
+	n.finished(f, Ended, why, how)
+}
+
+// finished tells the module that an established connection is over and ends the client's side in kind.
+func (n *Node) finished(f *flow, end End, why Reason, how placement.Outcome) {
+	f.over, f.out = true, false
+	n.module.Ended(n.now, f.id, f.try, how, true)
+	n.touched = append(n.touched, f.id)
+	c := f.client
+	if c.reason == "" {
+		c.reason = why
+	}
+	c.finish = end
+	if c.closed {
+		return
+	}
+	n.wait(c, lingering)
+	n.flush(c)
+}
+
+// record writes the log line of a client's connection.
+func (n *Node) record(c *conn) {
+	r := Record{Reason: c.reason, Lasted: n.now - c.since, Down: c.passed}
+	if f := c.flow; f != nil {
+		r.Type, r.Connects, r.Setup = n.door.Types[f.kind], f.try+1, f.setup
+		if f.host != nil {
+			r.Host, r.Up = n.hosts[f.on].name, f.host.passed
+		}
+	}
+	n.ask(Done{r})
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/placement"
+)
+
+// states of a host; one that is not known here gets nothing new.
+var states = map[string]placement.State{"SERVING": placement.Ready, "DRAINING": placement.Draining,
+	"DELETED": placement.Gone}
+
+// number gives the id that a name stands for: all nodes and the simulator order the base list by it.
+func number(name string) uint32 {
+	tail := name[strings.LastIndexByte(name, '-')+1:]
+	if id, err := strconv.ParseUint(tail, 16, 32); err == nil {
+		return uint32(id)
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
+}
+
+// host gives the small index that a name goes by.
+func (n *Node) host(name string) int {
+	at, ok := n.byName[name]
+	if !ok {
+		at = len(n.hosts)
+		n.byName[name] = at
+		n.hosts = append(n.hosts, host{name: name})
+	}
+	return at
+}
+
+func (n *Node) listed(l roster.List) {
+	n.heard, n.misses = true, 0
+	kind := placement.ListChanges
+	if l.Whole {
+		kind = placement.ListFull
+	}
+	n.list(kind, l)
+}
+
+func (n *Node) list(kind placement.ListKind, l roster.List) {
+	n.index = l.Index
+	items := make([]placement.Listing, 0, len(l.Hosts))
+	for _, h := range l.Hosts {
+		at := n.host(h.Name)
+		if h.Address != "" {
+			n.hosts[at].address = h.Address
+		}
+		state, ok := states[h.Status]
+		if !ok || state == placement.Ready && n.hosts[at].address == "" {
+			state = placement.Draining
+		}
+		zone, ok := n.zones[h.Zone]
+		if !ok {
+			zone = -1
+		}
+		items = append(items, placement.Listing{Server: at, ID: number(h.Name), State: state,
+			Since: max(h.Since, 0) / 1e3, Zone: zone, Cell: int(h.Group), Size: max(h.Weight, 0)})
+	}
+	n.module.List(n.now, kind, items)
+}
+
+// isReady tells whether the front may send clients: a list was told, or discovery is out and the old one must do.
+func (n *Node) isReady() bool {
+	return !n.leaving && (n.heard || n.misses >= 2 && len(n.hosts) > 0)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,172 @@
+// Package node is the core of the real node: one reducer that owns the flows, their connects and their deadlines
+// and drives the module. It does no I/O and reads no clock: Apply takes what happened and gives what to do.
+package node
+
+import (
+	"math"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/rundown"
+	"gorseledge/placement"
+)
+
+// Start is what a node is told before its first input.
+type Start struct {
+	Rundown placement.Rundown
+	Door    rundown.Door
+	Known   roster.List // the list as this node last had it; it may be old
+	Sockets int         // descriptors that its connections may take
+}
+
+type host struct {
+	name, address string
+}
+
+// Node is the whole state of a real node.
+type Node struct {
+	module *placement.Balancer
+	door   rundown.Door
+	probes string // what a probe says
+	now    float64
+	out    []Effect
+	text   []byte // the line being looked at
+
+	conns       map[Conn]*conn
+	dialed      Conn
+	descriptors int // held by connections
+	limit       int
+
+	flows   []*flow // by the module's index
+	free    []int
+	touched []int // indices that the module may be done with
+
+	hosts  []host // by the module's index
+	byName map[string]int
+	index  int64 // of the last list
+	heard  bool  // discovery has told a list since the start
+	misses int   // calls of discovery that failed since
+
+	types, tenants, zones map[string]int
+
+	dues    dues
+	wakeAt  float64 // the module's wake
+	timerAt float64 // the timer asked for last
+	leaving bool
+	leaveAt float64 // when it was asked to leave
+	exited  bool
+}
+
+func places(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, name := range names {
+		m[name] = i
+	}
+	return m
+}
+
+// New gives a node at its start; the first Apply is due at once.
+func New(now float64, s Start) *Node {
+	s.Rundown.Subscribe = true // on sockets the list always comes by a watch
+	n := &Node{module: placement.New(s.Rundown), door: s.Door, now: now, conns: map[Conn]*conn{}, limit: s.Sockets,
+		byName: map[string]int{}, types: places(s.Door.Types), tenants: places(s.Door.Tenants),
+		zones: places(s.Door.Zones), wakeAt: math.Inf(1), timerAt: math.Inf(1)}
+	n.probes = probeWords(s.Rundown.Reports)
+	n.list(placement.ListCached, s.Known)
+	return n
+}
+
+func (n *Node) ask(e Effect) { n.out = append(n.out, e) }
+
+// Apply takes one input and gives what to do about it, in this order. The result holds until the next call.
+func (n *Node) Apply(now float64, in Input) []Effect {
+	n.now, n.out = max(now, n.now), n.out[:0]
+	n.take(in)
+	n.ringDue()
+	if n.now >= n.wakeAt {
+		n.wakeAt = math.Inf(1)
+		n.module.Woken(n.now)
+	}
+	n.pull()
+	n.sweep()
+	if n.leaving {
+		n.depart()
+	}
+	if at := n.nextDue(); at != n.timerAt && !math.IsInf(at, 1) {
+		n.timerAt = at
+		n.ask(Timer{at})
+	}
+	return n.out
+}
+
+func (n *Node) take(in Input) {
+	switch in := in.(type) {
+	case Accepted:
+		c := n.newConn(in.Conn, client)
+		c.up = true
+		n.wait(c, lineWait)
+		n.read(c)
+	case Dialed:
+		if c := n.conns[in.Conn]; c != nil {
+			n.dialedUp(c, in.Err)
+		}
+	case Got:
+		if c := n.conns[in.Conn]; c != nil {
+			n.got(c, in.N, in.End)
+		}
+	case Wrote:
+		if c := n.conns[in.Conn]; c != nil {
+			n.wrote(c, in.N, in.Failed)
+		}
+	case Closed:
+		n.descriptors--
+	case Listed:
+		n.listed(in.List)
+	case Unlisted:
+		n.misses++
+		n.module.List(n.now, placement.ListFailed, nil)
+		n.ask(Note{"discovery: " + in.Why})
+	case Leave:
+		n.leave()
+	case Tick:
+		n.timerAt = math.Inf(1)
+	}
+}
+
+// pull carries out what the module decides until it has nothing more to say.
+func (n *Node) pull() {
+	for {
+		d, ok := n.module.Next(n.now)
+		if !ok {
+			return
+		}
+		switch d.Do {
+		case placement.Connect:
+			n.connect(n.flows[d.Flow], d.Server, d.Within)
+		case placement.Reject:
+			n.reject(n.flows[d.Flow], d.Within)
+		case placement.Abort:
+			n.abort(n.flows[d.Flow])
+		case placement.Move:
+			n.move(n.flows[d.Flow], Moved, placement.CalledOff)
+		case placement.Probe:
+			n.probe(d.Server)
+		case placement.Follow:
+			n.ask(Watch{n.index})
+		case placement.Wake:
+			n.wakeAt = min(n.wakeAt, n.now+d.Within)
+		case placement.Log:
+			n.ask(Note{d.Line})
+		}
+	}
+}
+
+// sweep frees the indices of flows for which nothing more can come.
+func (n *Node) sweep() {
+	for _, id := range n.touched {
+		if n.flows[id] != nil && n.module.Idle(id) {
+			n.flows[id] = nil
+			n.free = append(n.free, id)
+		}
+	}
+	n.touched = n.touched[:0]
+}
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"gorseledge/internal/line"
+	"gorseledge/placement"
+)
+
+const probeWait = 1.0 // for the answer to a probe: a host that needs longer is no use for a flow either
+
+func probeWords(reports bool) string {
+	if reports {
+		return line.StatLine
+	}
+	return line.PingLine
+}
+
+// probe asks a host whether it serves.
+func (n *Node) probe(at int) {
+	if n.hosts[at].address == "" || !n.affords(1) {
+		n.module.Probed(n.now, at, placement.NeverSent, placement.Report{Load: -1})
+		return
+	}
+	n.dial(probe, at, []byte(n.probes), probeWait)
+}
+
+// probeLine takes the answer; anything but a PONG is a host that does not serve.
+func (n *Node) probeLine(c *conn, text []byte) {
+	how, r := placement.Errored, placement.Report{Load: -1}
+	if word, rest := line.Split(text); word == line.Pong {
+		how = placement.Served
+		if load, ok := line.Report(rest, "x0"); ok {
+			r.Load = load
+		}
+	}
+	n.probed(c, how, r)
+}
+
+func (n *Node) probed(c *conn, how placement.Outcome, r placement.Report) {
+	n.close(c, false)
+	n.module.Probed(n.now, c.host, how, r)
+}
--- a/internal/lbwire/settings.go
+++ b/internal/rundown/rundown.go
@@ -1,4 +1,6 @@
-package lbwire
+// Package rundown reads the settings object that an instance is given at its start, for the module and for what
+// carries it.
+package rundown
 
 import (
 	"encoding/json"
@@ -8,10 +10,22 @@
 	"gorseledge/placement"
 )
 
+// Door is what the adapters need of the settings beside the module's rundown: names and limits of connections.
+type Door struct {
+	Fields      []string // of a load report, in their order
+	Types       []string // service types
+	Tenants     []string
+	Zones       []string
+	DialTimeout float64 // a connection that is not up by then never comes up
+	Longest     float64 // the longest connect timeout
+	PassThrough bool    // packets pass through: connections outlive the node
+}
+
 // start is the settings object of a start; keys not named here are skipped.
 type start struct {
-	FamilyInfo struct {
+	Family struct {
 		MessageAim []float64 `json:"message_aim_us"`
+		Mode       string    `json:"mode"`
 		Quotas     []float64 `json:"tenant_quota_connections"`
 	} `json:"family_info"`
 	Tick       float64 `json:"granularity_us"`
@@ -23,23 +37,30 @@
 		FallFor      float64 `json:"fall_us"`
 	} `json:"invariants"`
 	Limits struct {
+		DialTimeout   float64 `json:"dial_timeout_us"`
 		MaxConnects   float64 `json:"max_connects"`
 		MaxRetryAfter float64 `json:"max_retry_after_us"`
 		Probes        bool    `json:"probes"`
 		RetryAfter    bool    `json:"retry_after"`
 	} `json:"limits"`
 	Membership string `json:"membership_mode"`
-	Reporting  struct {
+	Parties    []struct {
+		Name string `json:"name"`
+	} `json:"parties"`
+	Reporting struct {
 		Fields []string `json:"fields"`
 		Source string   `json:"source"`
 	} `json:"reporting"`
 	Types []struct {
+		Name        string  `json:"name"`
 		Effect      string  `json:"effect"`
 		Group       string  `json:"group"`
+		GiveUp      float64 `json:"give_up_us"`
 		MemorySpan  float64 `json:"memory_span_us"`
 		SetupTarget float64 `json:"setup_target_us"`
 	} `json:"service_types"`
-	Siblings float64 `json:"siblings"`
+	Siblings float64  `json:"siblings"`
+	Zones    []string `json:"zones"`
 }
 
 var effects = map[string]placement.Effect{"repeatable": placement.Repeatable, "by_key": placement.Referenced,
@@ -50,11 +71,11 @@
 
 const micro = 1e-6
 
-// readStart turns the settings of a start into a rundown and the order of the report fields.
-func readStart(text []byte, seed uint64) (placement.Rundown, []string, error) {
+// Read turns the settings of a start into the module's rundown and the door's.
+func Read(text []byte, seed uint64) (placement.Rundown, Door, error) {
 	var s start
 	if err := json.Unmarshal(text, &s); err != nil {
-		return placement.Rundown{}, nil, fmt.Errorf("settings: %w", err)
+		return placement.Rundown{}, Door{}, fmt.Errorf("settings: %w", err)
 	}
 	r := placement.Rundown{
 		Seed: seed, Nodes: whole(s.Siblings), Tick: span(s.Tick),
@@ -62,20 +83,27 @@
 		AskWithin: span(s.Invariants.AskWithin), ColdFrom: s.Invariants.ColdFrom, ColdFor: span(s.Invariants.ColdFor),
 		FallMultiple: s.Invariants.FallMultiple, FallFor: span(s.Invariants.FallFor),
 		Reports: s.Reporting.Source == "on_probe",
-		Quotas:  s.FamilyInfo.Quotas,
+		Quotas:  s.Family.Quotas,
 	}
 	if s.Limits.RetryAfter {
 		r.RetryAdvice = span(s.Limits.MaxRetryAfter)
 	}
+	d := Door{Fields: s.Reporting.Fields, Zones: s.Zones, DialTimeout: span(s.Limits.DialTimeout),
+		PassThrough: s.Family.Mode == "pass"}
+	for _, p := range s.Parties {
+		d.Tenants = append(d.Tenants, p.Name)
+	}
 	for i, t := range s.Types {
 		row := placement.ServiceType{Effect: effects[t.Effect], Group: groups[t.Group],
 			MemorySpan: span(t.MemorySpan), SetupTarget: span(t.SetupTarget)}
-		if i < len(s.FamilyInfo.MessageAim) {
-			row.MessageAim = span(s.FamilyInfo.MessageAim[i])
+		if i < len(s.Family.MessageAim) {
+			row.MessageAim = span(s.Family.MessageAim[i])
 		}
 		r.Types = append(r.Types, row)
+		d.Types = append(d.Types, t.Name)
+		d.Longest = max(d.Longest, span(t.GiveUp))
 	}
-	return r, s.Reporting.Fields, nil
+	return r, d, nil
 }
 
 func span(us float64) float64 { return math.Max(us, 0) * micro }
--- /dev/null
+++ b/internal/sockets/config.go
@@ -0,0 +1,72 @@
+package sockets
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/line"
+	"gorseledge/internal/node"
+	"gorseledge/internal/rundown"
+)
+
+// Config is what a node is told by its platform.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int64   `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+const (
+	ownDescriptors = 16  // standard streams, listener, poller, discovery
+	manySockets    = 512 // where no limit is told
+)
+
+// ReadConfig reads the file that LB_CONFIG names; the other variables stand in for what it lacks.
+func ReadConfig() (Config, error) {
+	var c Config
+	path := os.Getenv("LB_CONFIG")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("config: %w", err)
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return c, fmt.Errorf("config %s: %w", path, err)
+	}
+	c.Name = cmp.Or(c.Name, os.Getenv("LB_NAME"))
+	c.Listen = cmp.Or(c.Listen, os.Getenv("LB_LISTEN"))
+	c.Discovery = cmp.Or(c.Discovery, os.Getenv("LB_DISCOVERY"))
+	if c.Listen == "" || c.Discovery == "" {
+		return c, fmt.Errorf("config %s: no address to listen on, or none of discovery", path)
+	}
+	return c, nil
+}
+
+// start turns the config into what the core is told. A known list that does not parse is as good as none.
+func (c Config) start() (node.Start, error) {
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		seed = line.Number([]byte(c.Seed))
+	}
+	r, d, err := rundown.Read(c.Settings, seed)
+	if err != nil {
+		return node.Start{}, err
+	}
+	known, err := roster.Read(c.Known)
+	if err != nil {
+		known = roster.List{}
+	}
+	limit := cmp.Or(max(c.Limits.Sockets, 0), manySockets)
+	return node.Start{Rundown: r, Door: d, Known: known, Sockets: max(limit-ownDescriptors, 2)}, nil
+}
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,211 @@
+// Package sockets carries out what the core asks for on real sockets. One loop calls the core; other goroutines only
+// read, write, dial and watch, and hand what came of it to the loop.
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"gorseledge/internal/discovery"
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/node"
+)
+
+const waiting = 1024 // inputs that may wait for the loop
+
+var errDone = errors.New("nothing is left to do")
+
+// accepted and dialed bring a socket to the loop.
+type (
+	accepted struct{ socket *net.TCPConn }
+	dialed   struct {
+		conn   node.Conn
+		socket *net.TCPConn
+		err    error
+	}
+)
+
+// door is the loop's own state.
+type door struct {
+	core    *node.Node
+	log     zerolog.Logger
+	group   *errgroup.Group
+	ctx     context.Context
+	inputs  chan any // node.Input, accepted or dialed
+	links   map[node.Conn]*link
+	last    node.Conn // number of the last connection accepted
+	began   time.Time
+	base    float64
+	timer   *time.Timer
+	roster  *discovery.Client
+	unwatch context.CancelFunc
+}
+
+// Run serves until the core is done, stop says to leave, or something fails that it cannot do without.
+func Run(ctx context.Context, c Config, log zerolog.Logger, stop <-chan os.Signal) error {
+	start, err := c.start()
+	if err != nil {
+		return err
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	began := time.Now()
+	d := &door{log: log, group: group, ctx: ctx, inputs: make(chan any, waiting), links: map[node.Conn]*link{},
+		last: 1, began: began, base: float64(began.UnixNano()) / 1e9, timer: time.NewTimer(0),
+		roster: discovery.New(c.Discovery), unwatch: func() {}}
+	d.core = node.New(d.now(), start)
+	log.Info().Str("listen", ln.Addr().String()).Int("sockets", start.Sockets).Msg("started")
+	group.Go(func() error { return d.accept(ln.(*net.TCPListener)) })
+	group.Go(func() error {
+		defer ln.Close()
+		return d.loop(stop)
+	})
+	if err := group.Wait(); !errors.Is(err, errDone) {
+		return err
+	}
+	return nil
+}
+
+// now is the system's clock at the start and what has passed since: it never goes back.
+func (d *door) now() float64 { return d.base + time.Since(d.began).Seconds() }
+
+// send hands something to the loop, unless the loop has ended.
+func (d *door) send(in any) {
+	select {
+	case d.inputs <- in:
+	case <-d.ctx.Done():
+	}
+}
+
+func (d *door) accept(ln *net.TCPListener) error {
+	for {
+		socket, err := ln.AcceptTCP()
+		switch {
+		case err == nil:
+			d.send(accepted{socket})
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default: // no descriptor for now, or the client is gone already
+			d.log.Warn().Err(err).Msg("accept")
+			select {
+			case <-time.After(5 * time.Millisecond):
+			case <-d.ctx.Done():
+				return nil
+			}
+		}
+	}
+}
+
+func (d *door) loop(stop <-chan os.Signal) error {
+	defer d.unwatch()
+	defer func() {
+		for _, l := range d.links {
+			l.close(false)
+		}
+	}()
+	for {
+		var in node.Input
+		select {
+		case <-d.ctx.Done():
+			return d.ctx.Err()
+		case <-stop:
+			d.log.Info().Msg("asked to leave")
+			in = node.Leave{}
+		case <-d.timer.C:
+			in = node.Tick{}
+		case what := <-d.inputs:
+			in = d.arrived(what)
+		}
+		if in == nil {
+			continue
+		}
+		for _, e := range d.core.Apply(d.now(), in) {
+			if !d.perform(e) {
+				return errDone
+			}
+		}
+	}
+}
+
+// arrived takes the sockets out of what goroutines hand in.
+func (d *door) arrived(what any) node.Input {
+	switch what := what.(type) {
+	case accepted:
+		d.last += 2
+		d.link(d.last, what.socket)
+		return node.Accepted{Conn: d.last}
+	case dialed:
+		l := d.links[what.conn]
+		if l == nil { // given up meanwhile
+			if what.socket != nil {
+				what.socket.Close()
+			}
+			return node.Closed{Conn: what.conn}
+		}
+		if what.err == nil {
+			d.link(what.conn, what.socket)
+		}
+		return node.Dialed{Conn: what.conn, Err: what.err}
+	}
+	return what.(node.Input)
+}
+
+// perform carries out one effect; false says that it was the last.
+func (d *door) perform(e node.Effect) bool {
+	switch e := e.(type) {
+	case node.Read:
+		d.links[e.Conn].reads <- e.Into
+	case node.Write:
+		d.links[e.Conn].writes <- e.Data
+	case node.Dial:
+		d.dial(e)
+	case node.Shut:
+		if err := d.links[e.Conn].socket.CloseWrite(); err != nil {
+			d.log.Debug().Err(err).Msg("shut")
+		}
+	case node.Close:
+		d.links[e.Conn].close(e.Reset)
+		delete(d.links, e.Conn)
+	case node.Watch:
+		d.watch(e.Index)
+	case node.Timer:
+		d.timer.Reset(time.Duration((e.At - d.now()) * 1e9))
+	case node.Note:
+		d.log.Info().Msg(e.Line)
+	case node.Done:
+		r := e.Record
+		d.log.Info().Str("reason", string(r.Reason)).Str("type", r.Type).Str("host", r.Host).Int("connects", r.Connects).
+			Float64("setup_s", round(r.Setup)).Float64("lasted_s", round(r.Lasted)).Uint64("up", r.Up).Uint64("down", r.Down).
+			Msg("ended")
+	case node.Exit:
+		return false
+	}
+	return true
+}
+
+func round(seconds float64) float64 { return float64(int64(seconds*1e3+0.5)) / 1e3 }
+
+// watch begins a watch of the list in place of the one before.
+func (d *door) watch(index int64) {
+	d.unwatch()
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.unwatch = cancel
+	d.group.Go(func() error {
+		err := d.roster.Watch(ctx, index, func(l roster.List) { d.send(node.Listed{List: l}) })
+		if ctx.Err() == nil {
+			d.send(node.Unlisted{Why: err.Error()})
+		}
+		return nil
+	})
+}
