--- a/placement/placement.go
+++ b/placement/placement.go
@@ -344,8 +344,8 @@
 		s.fullAt = now
 		return
 	case wasOpen && how == Broken:
-		s.bad += 0.5         // one break may be the server shedding; several together are its end
-		b.lower(now, s, 0.9) // 0.97 measured alike
+		s.bad, s.jamAt = s.bad+0.5, now // one break may be the server shedding; several together are its end
+		b.lower(now, s, 0.9)            // 0.97 measured alike
 		return
 	case wasOpen, how == Served, how == CalledOff, how == NeverSent:
 		return
