--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,134 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gorseledge/internal/discovery/roster"
+)
+
+// within gives a client of a stand-in for discovery. Pipes stand in for the network, so that the clock of the test
+// decides what is late.
+func within(t *testing.T, handle http.HandlerFunc) *Client {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		server := &http.Server{Handler: handle}
+		ln := &single{far: far, done: make(chan struct{})}
+		go server.Serve(ln)
+		t.Cleanup(func() { ln.Close(); server.Close(); near.Close() })
+		return near, nil
+	}
+	return &Client{"discovery", &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+}
+
+// single is a listener of one connection.
+type single struct {
+	far  net.Conn
+	done chan struct{}
+}
+
+func (s *single) Accept() (net.Conn, error) {
+	if far := s.far; far != nil {
+		s.far = nil
+		return far, nil
+	}
+	<-s.done
+	return nil, net.ErrClosed
+}
+
+func (s *single) Close() error {
+	select {
+	case <-s.done:
+	default:
+		close(s.done)
+	}
+	return nil
+}
+
+func (s *single) Addr() net.Addr { return &net.TCPAddr{} }
+
+func TestWatch(t *testing.T) {
+	write := func(w http.ResponseWriter, text string) {
+		io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+	}
+	const whole = `{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":"h:1","status":"SERVING","weight":1.5}]}` + "\n"
+	const change = `{"index":43,"snapshot":false,"endpoints":[{"name":"s-1","status":"DRAINING"},{"address":"nameless"}]}` + "\n"
+	cases := []struct {
+		name   string
+		handle func(w http.ResponseWriter, r *http.Request)
+		told   string
+		fails  string
+		least  time.Duration // how long it takes to give up
+		most   time.Duration
+	}{
+		{"a whole list and a change, empty lines between", func(w http.ResponseWriter, r *http.Request) {
+			write(w, whole)
+			for range 5 {
+				time.Sleep(2 * time.Second)
+				write(w, "\n")
+			}
+			write(w, change)
+		}, "41 true s-1 SERVING, 43 false s-1 DRAINING, ", "EOF", 10 * time.Second, 11 * time.Second},
+		{"lists in pieces", func(w http.ResponseWriter, r *http.Request) {
+			write(w, whole[:30])
+			time.Sleep(time.Second)
+			write(w, whole[30:]+change)
+		}, "41 true s-1 SERVING, 43 false s-1 DRAINING, ", "EOF", time.Second, 2 * time.Second},
+		{"refused", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }, "", "status 503", 0, time.Second},
+		{"reset", func(w http.ResponseWriter, r *http.Request) { write(w, whole); panic(http.ErrAbortHandler) },
+			"41 true s-1 SERVING, ", "EOF", 0, time.Second},
+		{"silent from the start", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+			"", ErrSilent.Error(), firstWait, firstWait + time.Second},
+		{"silent after a list", func(w http.ResponseWriter, r *http.Request) { write(w, whole); <-r.Context().Done() },
+			"41 true s-1 SERVING, ", ErrSilent.Error(), quiet, quiet + time.Second},
+		{"no JSON", func(w http.ResponseWriter, r *http.Request) { write(w, "{{\n") }, "", "does not parse", 0, time.Second},
+		{"another shape", func(w http.ResponseWriter, r *http.Request) { write(w, `{"index":"x"}`+"\n") }, "", "does not parse",
+			0, time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				asked := make(chan string, 1)
+				client := within(t, func(w http.ResponseWriter, r *http.Request) {
+					asked <- r.URL.String()
+					c.handle(w, r)
+				})
+				told, began := "", time.Now()
+				err := client.Watch(t.Context(), 40, func(l roster.List) {
+					told += fmt.Sprint(l.Index, " ", l.Whole, " ")
+					for _, h := range l.Hosts {
+						told += h.Name + " " + h.Status + ", "
+					}
+				})
+				if took := time.Since(began); took < c.least || took > c.most {
+					t.Errorf("took %v", took)
+				}
+				if told != c.told || err == nil || !strings.Contains(err.Error(), c.fails) {
+					t.Errorf("told %q and failed with %v, wanted %q and %q", told, err, c.told, c.fails)
+				}
+				if got := <-asked; got != "/discovery/hosts?stream=1&index=40" {
+					t.Errorf("asked %s", got)
+				}
+			})
+		})
+	}
+	t.Run("called off", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			client := within(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			time.AfterFunc(time.Second, cancel)
+			if err := client.Watch(ctx, 0, nil); !errors.Is(err, context.Canceled) {
+				t.Fatalf("ended with %v", err)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/sockets/sockets_test.go
@@ -0,0 +1,120 @@
+package sockets
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+)
+
+// Nothing runs on once Run is back, however it ended and whatever was under way.
+func TestNoLeak(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(cancel context.CancelFunc, stop chan<- os.Signal)
+		want error
+	}{
+		{"called off", func(cancel context.CancelFunc, _ chan<- os.Signal) { cancel() }, context.Canceled},
+		{"asked to leave", func(_ context.CancelFunc, stop chan<- os.Signal) { stop <- syscall.SIGTERM }, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			host, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				io.WriteString(w, `{"index":1,"snapshot":true,"endpoints":[{"name":"s-1","address":"`+host.Addr().String()+
+					`","status":"SERVING","weight":1}]}`+"\n")
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			}))
+			before := goleak.IgnoreCurrent()
+			log, lines := io.Pipe()
+			stop := make(chan os.Signal, 1)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			config := Config{Listen: "127.0.0.1:0", Discovery: silent.Listener.Addr().String(),
+				Settings: []byte(`{"service_types":[{"name":"chat","effect":"repeatable","give_up_us":300000}],"limits":{"max_connects":1}}`)}
+			ran := make(chan error, 1)
+			go func() {
+				err := Run(ctx, config, zerolog.New(lines), stop)
+				lines.Close()
+				ran <- err
+			}()
+			in := bufio.NewScanner(log)
+			address := ""
+			for in.Scan() {
+				var line struct{ Listen, Message string }
+				if json.Unmarshal(in.Bytes(), &line); line.Listen != "" {
+					address = line.Listen
+				}
+				if strings.HasPrefix(line.Message, "base list of 1") {
+					break
+				}
+			}
+			go io.Copy(io.Discard, log)
+			for range 3 { // all are placed, and wait for hosts that say nothing
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				if _, err := io.WriteString(conn, "OPEN 1 a1 c=chat,d=60000\r\n"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			taken, err := host.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.end(cancel, stop)
+			if err := <-ran; !errors.Is(err, c.want) {
+				t.Errorf("ended with %v, wanted %v", err, c.want)
+			}
+			taken.Close()
+			host.Close()
+			silent.CloseClientConnections()
+			log.Close()
+			goleak.VerifyNone(t, before)
+			silent.Close()
+		})
+	}
+}
+
+func TestStart(t *testing.T) {
+	cases := []struct {
+		name, text string
+		sockets    int
+		known      int
+		fails      bool
+	}{
+		{"nothing told", `{"settings":{}}`, manySockets - ownDescriptors, 0, false},
+		{"limits and a list", `{"settings":{},"seed":"ff","limits":{"sockets":1000},"known":{"endpoints":[{"name":"a"}]}}`,
+			1000 - ownDescriptors, 1, false},
+		{"a list that does not parse", `{"settings":{},"known":[7]}`, manySockets - ownDescriptors, 0, false},
+		{"hardly any descriptors", `{"settings":{},"limits":{"sockets":5}}`, 2, 0, false},
+		{"below nothing", `{"settings":{},"limits":{"sockets":-5}}`, manySockets - ownDescriptors, 0, false},
+		{"no settings", `{}`, 0, 0, true},
+	}
+	for _, c := range cases {
+		var config Config
+		if err := json.Unmarshal([]byte(c.text), &config); err != nil {
+			t.Fatal(err)
+		}
+		s, err := config.start()
+		if (err != nil) != c.fails || s.Sockets != c.sockets || len(s.Known.Hosts) != c.known {
+			t.Errorf("%s: %d sockets, %d hosts known, %v", c.name, s.Sockets, len(s.Known.Hosts), err)
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -445,7 +445,7 @@
 		s.answers = 0
 	} else if b.Timed { // guards against jams that no note tells of
 		s.least = min(cmp.Or(s.least, r.Took), r.Took)
-		b.slow(now, s, 4*b.aim*math.Pow((r.Took-s.least)/(s.least+b.Tick), 2))
+		b.slow(now, s, 4*b.aim*math.Pow(max(r.Took-1.25*s.least, 0)/(s.least+b.Tick), 2))
 	}
 	if s.aside && s.answers >= 2 {
 		s.aside, s.bad, s.good = false, 0, 0
