--- a/cmd/gorseledge/main.go
+++ b/cmd/gorseledge/main.go
@@ -22,7 +22,8 @@
 }
 
 func run() int {
-	out := diode.NewWriter(os.Stderr, 4096, 10*time.Millisecond, nil) // a slow reader of the log holds nothing up
+	// Guards against a slow reader of the log holding the node up: lines are dropped first.
+	out := diode.NewWriter(os.Stderr, 4096, 10*time.Millisecond, nil)
 	defer out.Close()
 	log := zerolog.New(out).With().Timestamp().Logger()
 	config, err := sockets.ReadConfig()
--- a/cmd/gorseledge/main_test.go
+++ b/cmd/gorseledge/main_test.go
@@ -110,7 +110,8 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": sockets}, "known": nil,
 		"settings": map[string]any{
 			"family_info": map[string]any{"mode": mode}, "granularity_us": 4000, "siblings": 1, "zones": []string{"a"},
-			"limits":        map[string]any{"dial_timeout_us": 5000000, "max_connects": 3, "max_retry_after_us": 2000000, "retry_after": true},
+			"limits": map[string]any{"dial_timeout_us": 5000000, "max_connects": 3,
+				"max_retry_after_us": 2000000, "retry_after": true},
 			"service_types": []any{map[string]any{"name": "chat", "effect": "repeatable", "give_up_us": 900000}},
 		}})
 	if err != nil {
@@ -309,7 +310,8 @@
 		client := s.client()
 		client.say(first(900))
 		host, got := s.host(0)
-		if want := strings.TrimSpace(first(900)); len(got) != len(want) || got[:18] != want[:18] || !strings.HasSuffix(got, ",zz=5") {
+		if want := strings.TrimSpace(first(900)); len(got) != len(want) || got[:18] != want[:18] ||
+			!strings.HasSuffix(got, ",zz=5") {
 			t.Fatalf("the host got %q", got)
 		}
 		host.say("BUSY\r\n")
@@ -398,7 +400,8 @@
 	}
 }
 
-// More clients than descriptors: some are told to come later, the node lives, and all is free again afterwards.
+// More clients than descriptors: some are told to come later, the node lives, and all is free again
+// afterwards.
 func TestSockets(t *testing.T) {
 	s := start(t, "proxy", 3, 60)
 	for at := range s.hosts {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,5 +1,5 @@
-// Package discovery watches the list of hosts over HTTP. When to ask is not decided here: a watch lasts until it
-// fails, and says why.
+// Package discovery watches the list of hosts over HTTP. When to ask is not decided here: a watch lasts until
+// it fails, and says why.
 package discovery
 
 import (
@@ -32,7 +32,8 @@
 
 // New gives a client; nothing is asked yet.
 func New(address string) *Client {
-	return &Client{address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+	return &Client{address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+		DisableCompression: true}}}
 }
 
 // Watch hands on each list that is told after index, until the watch ends; the error says why it did.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -15,8 +15,8 @@
 	"gorseledge/internal/discovery/roster"
 )
 
-// within gives a client of a stand-in for discovery. Pipes stand in for the network, so that the clock of the test
-// decides what is late.
+// within gives a client of a stand-in for discovery. Pipes stand in for the network, so that the clock of the
+// test decides what is late.
 func within(t *testing.T, handle http.HandlerFunc) *Client {
 	dial := func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
@@ -26,7 +26,8 @@
 		t.Cleanup(func() { ln.Close(); server.Close(); near.Close() })
 		return near, nil
 	}
-	return &Client{"discovery", &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+	return &Client{"discovery", &http.Client{Transport: &http.Transport{DialContext: dial,
+		DisableKeepAlives: true}}}
 }
 
 // single is a listener of one connection.
@@ -83,15 +84,22 @@
 			time.Sleep(time.Second)
 			write(w, whole[30:]+change)
 		}, "41 true s-1 SERVING, 43 false s-1 DRAINING, ", "EOF", time.Second, 2 * time.Second},
-		{"refused", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }, "", "status 503", 0, time.Second},
+		{"refused", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }, "", "status 503", 0,
+			time.Second},
 		{"reset", func(w http.ResponseWriter, r *http.Request) { write(w, whole); panic(http.ErrAbortHandler) },
 			"41 true s-1 SERVING, ", "EOF", 0, time.Second},
 		{"silent from the start", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 			"", ErrSilent.Error(), firstWait, firstWait + time.Second},
-		{"silent after a list", func(w http.ResponseWriter, r *http.Request) { write(w, whole); <-r.Context().Done() },
+		{"silent after a list", func(w http.ResponseWriter, r *http.Request) {
+			write(w,
+				whole)
+			<-r.Context().Done()
+		},
 			"41 true s-1 SERVING, ", ErrSilent.Error(), quiet, quiet + time.Second},
-		{"no JSON", func(w http.ResponseWriter, r *http.Request) { write(w, "{{\n") }, "", "does not parse", 0, time.Second},
-		{"another shape", func(w http.ResponseWriter, r *http.Request) { write(w, `{"index":"x"}`+"\n") }, "", "does not parse",
+		{"no JSON", func(w http.ResponseWriter, r *http.Request) { write(w, "{{\n") }, "", "does not parse", 0,
+			time.Second},
+		{"another shape", func(w http.ResponseWriter, r *http.Request) { write(w, `{"index":"x"}`+"\n") }, "",
+			"does not parse",
 			0, time.Second},
 	}
 	for _, c := range cases {
--- a/internal/discovery/roster/roster_test.go
+++ b/internal/discovery/roster/roster_test.go
@@ -6,7 +6,8 @@
 )
 
 func TestRead(t *testing.T) {
-	host := Host{Name: "s-5be2a07c", Address: "10.1.0.18:5000", Zone: "a", Group: 3, Status: "SERVING", Weight: 1.5, Since: 7}
+	host := Host{Name: "s-5be2a07c", Address: "10.1.0.18:5000", Zone: "a", Group: 3, Status: "SERVING",
+		Weight: 1.5, Since: 7}
 	for _, c := range []struct {
 		name, text string
 		want       List
--- a/internal/lbwire/link.go
+++ b/internal/lbwire/link.go
@@ -1,5 +1,5 @@
-// Package lbwire speaks the bench's frames: it decodes events into calls on a balancer and encodes the balancer's
-// decisions. Microseconds, ids and codes end here; nothing is decided here.
+// Package lbwire speaks the bench's frames: it decodes events into calls on a balancer and encodes the
+// balancer's decisions. Microseconds, ids and codes end here; nothing is decided here.
 package lbwire
 
 import (
@@ -189,7 +189,8 @@
 
 func arrival(rec []byte) placement.Arrival {
 	opts := rec[37]
-	a := placement.Arrival{Type: int(be.Uint16(rec[7:])), Tenant: int(be.Uint32(rec[9:])), Key: be.Uint64(rec[13:]),
+	a := placement.Arrival{Type: int(be.Uint16(rec[7:])), Tenant: int(be.Uint32(rec[9:])),
+		Key:  be.Uint64(rec[13:]),
 		Left: float64(be.Uint32(rec[21:])) * micro, Group: be.Uint64(rec[29:]), MidFlow: opts&8 != 0,
 		Back: opts&16 != 0}
 	if opts&1 != 0 {
--- a/internal/lbwire/link_test.go
+++ b/internal/lbwire/link_test.go
@@ -20,11 +20,13 @@
 		{"two empty batches", emptyBatch + emptyBatch, "00000008000000000000000800000000", ""},
 		{"cut off in the header", emptyBatch[:10], "", "batch 0: cut off in its header"},
 		{"cut off in the body", oneHead + "0a", "", "batch 0: cut off before its 64 bytes"},
-		{"length below the header", "0000000000000001" + "0000000f" + "00000000", "", "batch 0: 15 bytes do not hold 0"},
+		{"length below the header", "0000000000000001" + "0000000f" + "00000000", "",
+			"batch 0: 15 bytes do not hold 0"},
 		{"more records than bytes", "0000000000000001" + "00000040" + "00000002", "", "do not hold 2 records"},
 		{"oversized", "0000000000000001" + "ffffffff" + "00000000", "", "4294967295 bytes"},
 		{"unknown event", oneHead + pad("63"), "", "record 0: unknown event code 99"},
-		{"settings past the tail", oneHead + pad("0b0001"+"0000000000000005"+"00000000"+"00000009"), "", "past the tail"},
+		{"settings past the tail", oneHead + pad("0b0001"+"0000000000000005"+"00000000"+"00000009"), "",
+			"past the tail"},
 		{"wake of an unknown instance", oneHead + pad("0a0007"), "0000000800000000", ""},
 		{"end of an unknown instance", oneHead + pad("0c0007"), "0000000800000000", ""},
 		{"flow for an unknown instance", oneHead + pad("030007"), "0000000800000000", ""},
@@ -42,7 +44,8 @@
 			}
 			var out bytes.Buffer
 			err = Serve(bytes.NewReader(in), &out)
-			if c.fails == "" && err != nil || c.fails != "" && (err == nil || !strings.Contains(err.Error(), c.fails)) {
+			if c.fails == "" && err != nil || c.fails != "" && (err == nil || !strings.Contains(err.Error(),
+				c.fails)) {
 				t.Fatalf("error %v, wanted %q", err, c.fails)
 			}
 			if got := hex.EncodeToString(out.Bytes()); c.fails == "" && got != c.out {
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -1,4 +1,5 @@
-// Package line parses and encodes the line protocol that clients and hosts speak. It keeps nothing and decides nothing.
+// Package line parses and encodes the line protocol that clients and hosts speak. It keeps nothing and
+// decides nothing.
 package line
 
 import (
@@ -32,7 +33,8 @@
 	Syntax
 )
 
-var words = map[string]Word{"OPEN": Open, "UP": Up, "BYE": Bye, "MOVE": Move, "ERR": Err, "BUSY": Busy, "LOAD": Load,
+var words = map[string]Word{"OPEN": Open, "UP": Up, "BYE": Bye, "MOVE": Move, "ERR": Err, "BUSY": Busy,
+	"LOAD": Load,
 	"PING": Ping, "PONG": Pong, "STATS": Stats, "NO": No, "SYNTAX": Syntax}
 
 // Lines that the node says itself.
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -15,7 +15,8 @@
 		want       Opening
 		fails      error
 	}{
-		{"all that is usual", first + "\r\n", Opening{Key: key, Group: group, Type: "chat", Tenant: "acme", Timeout: 2}, nil},
+		{"all that is usual", first + "\r\n", Opening{Key: key, Group: group, Type: "chat", Tenant: "acme",
+			Timeout: 2}, nil},
 		{"back, mid-flow, carried, a load", "OPEN a 7f3a9c21e0b4d655 d=50.5,again=1,mid=1,at=s-1,h=20000,r=1,c=x\n",
 			Opening{Key: key, Type: "x", Timeout: 0.0505, Back: true, MidFlow: true, At: "s-1", Load: 0.02}, nil},
 		{"no key", "OPEN a - c=x,d=1", Opening{Type: "x", Timeout: 0.001}, nil},
@@ -66,7 +67,8 @@
 		text, rest string
 		want       Word
 	}{
-		{"UP 12\r\n", "12", Up}, {"BYE\r\n", "", Bye}, {"MOVE\n", "", Move}, {"ERR", "", Err}, {"BUSY 50\r\n", "50", Busy},
+		{"UP 12\r\n", "12", Up}, {"BYE\r\n", "", Bye}, {"MOVE\n", "", Move}, {"ERR", "", Err}, {"BUSY 50\r\n",
+			"50", Busy},
 		{"LOAD 1.5\r\n", "1.5", Load}, {"PONG x0=1\r\n", "x0=1", Pong}, {"PING\r\n", "", Ping}, {"NO\r\n", "", No},
 		{"SYNTAX\r\n", "", Syntax}, {"UPPER\r\n", "", Other}, {"\r\n", "", Other}, {"M 1 ab\r\n", "1 ab", Other},
 	} {
@@ -89,7 +91,8 @@
 		text string
 		want float64
 		ok   bool
-	}{{"22788.994", 0.022788994, true}, {" 5 ", 5e-6, true}, {"-1", 0, false}, {"NaN", 0, false}, {"Inf", 0, false}, {"", 0, false}} {
+	}{{"22788.994", 0.022788994, true}, {" 5 ", 5e-6, true}, {"-1", 0, false}, {"NaN", 0, false}, {"Inf", 0,
+		false}, {"", 0, false}} {
 		if got, ok := LoadOf([]byte(c.text)); ok != c.ok || ok && got != c.want {
 			t.Errorf("load %q: %g, %v", c.text, got, ok)
 		}
@@ -98,12 +101,14 @@
 		text string
 		want float64
 		ok   bool
-	}{{"inflight=3,x0=0.75", 0.75, true}, {"x0=1.5 x1=2", 1.5, true}, {"x00=1", 0, false}, {"x0=NaN", 0, false}, {"x0", 0, false}} {
+	}{{"inflight=3,x0=0.75", 0.75, true}, {"x0=1.5 x1=2", 1.5, true}, {"x00=1", 0, false}, {"x0=NaN", 0,
+		false}, {"x0", 0, false}} {
 		if got, ok := Report([]byte(c.text), "x0"); ok != c.ok || ok && got != c.want {
 			t.Errorf("report %q: %g, %v", c.text, got, ok)
 		}
 	}
-	for text, want := range map[string]uint64{"": 0, "-": 0, "0": 0, "ff": 255, "7f3a9c21e0b4d655": 0x7f3a9c21e0b4d655} {
+	for text, want := range map[string]uint64{"": 0, "-": 0, "0": 0, "ff": 255,
+		"7f3a9c21e0b4d655": 0x7f3a9c21e0b4d655} {
 		if got := Number([]byte(text)); got != want {
 			t.Errorf("number %q: %x", text, got)
 		}
@@ -114,7 +119,8 @@
 }
 
 func FuzzLine(f *testing.F) {
-	for _, seed := range []string{first, "OPEN a 0 d=1", "UP 1", "LOAD 1", "PONG x0=1", "\x00\xff", "OPEN a 0 d=1,d=2"} {
+	for _, seed := range []string{first, "OPEN a 0 d=1", "UP 1", "LOAD 1", "PONG x0=1", "\x00\xff",
+		"OPEN a 0 d=1,d=2"} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// discard drops what comes on a connection that is being ended. Its old ring may still be under a write that the
-// far side never took, so what comes now goes elsewhere.
+// discard drops what comes on a connection that is being ended. Its old ring may still be under a write that
+// the far side never took, so what comes now goes elsewhere.
 func (n *Node) discard(c *conn) {
 	if !c.sink {
 		c.in, c.sink, c.ready, c.scanned = ring.New(sinkSize), true, 0, 0
--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -25,7 +25,8 @@
 	line.Busy: placement.Full,
 }
 
-// outcome of a connect that a host answered with something other than its receipt; what is not known may have run.
+// outcome of a connect that a host answered with something other than its receipt; what is not known may have
+// run.
 func outcome(word line.Word) placement.Outcome {
 	if how, ok := answers[word]; ok {
 		return how
@@ -33,8 +34,8 @@
 	return placement.Errored
 }
 
-// broken is the outcome of a connect that broke, ended or was never answered: whether it may have run turns on
-// whether the last byte of its line was written.
+// broken is the outcome of a connect that broke, ended or was never answered: whether it may have run turns
+// on whether the last byte of its line was written.
 func broken(sent, silent bool) placement.Outcome {
 	switch {
 	case !sent:
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -2,7 +2,8 @@
 
 import "gorseledge/internal/discovery/roster"
 
-// Conn names a connection. The door numbers those it accepts with odd numbers, the core those it dials with even ones.
+// Conn names a connection. The door numbers those it accepts with odd numbers, the core those it dials with
+// even ones.
 type Conn uint64
 
 // End says what the far side of a connection did to its sending.
@@ -64,8 +65,8 @@
 // Effect is one thing that the core asks for.
 type Effect interface{ effect() }
 
-// What the core asks for. A connection has at most one Read and one Write under way; their buffers are not touched
-// by the core until the result is in.
+// What the core asks for. A connection has at most one Read and one Write under way; their buffers are not
+// touched by the core until the result is in.
 type (
 	// Dial opens a connection, answered by Dialed.
 	Dial struct {
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -129,7 +129,8 @@
 
 func (n *Node) abort(f *flow) { n.answer(f.client, []byte(line.ErrLine), Aborted) }
 
-// move tells an established client to come again and ends both sides. What the host said in whole lines goes first.
+// move tells an established client to come again and ends both sides. What the host said in whole lines goes
+// first.
 func (n *Node) move(f *flow, why Reason, how placement.Outcome) {
 	if !f.established || f.over {
 		return
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -66,7 +66,8 @@
 	n.module.List(n.now, kind, items)
 }
 
-// isReady tells whether the front may send clients: a list was told, or discovery is out and the old one must do.
+// isReady tells whether the front may send clients: a list was told, or discovery is out and the old one must
+// do.
 func (n *Node) isReady() bool {
 	return !n.leaving && (n.heard || n.misses >= 2 && len(n.hosts) > 0)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,5 +1,6 @@
-// Package node is the core of the real node: one reducer that owns the flows, their connects and their deadlines
-// and drives the module. It does no I/O and reads no clock: Apply takes what happened and gives what to do.
+// Package node is the core of the real node: one reducer that owns the flows, their connects and their
+// deadlines and drives the module. It does no I/O and reads no clock: Apply takes what happened and gives
+// what to do.
 package node
 
 import (
@@ -71,7 +72,8 @@
 	// A host sends a line back at once, also when its work piles up. Guards against hosts taken for jammed that
 	// are not: where reports tell the load itself, the time of a probe adds nothing but noise.
 	s.Rundown.Timed = !s.Rundown.Reports
-	n := &Node{module: placement.New(s.Rundown), door: s.Door, now: now, conns: map[Conn]*conn{}, limit: s.Sockets,
+	n := &Node{module: placement.New(s.Rundown), door: s.Door, now: now, conns: map[Conn]*conn{},
+		limit:  s.Sockets,
 		byName: map[string]int{}, types: places(s.Door.Types), tenants: places(s.Door.Tenants),
 		zones: places(s.Door.Zones), wakeAt: math.Inf(1), timerAt: math.Inf(1)}
 	n.probes = probeWords(s.Rundown.Reports)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -56,7 +56,8 @@
 func hostList(hosts int) roster.List {
 	l := roster.List{Index: 6, Whole: true}
 	for i := range hosts {
-		l.Hosts = append(l.Hosts, roster.Host{Name: fmt.Sprintf("s-%08x", 100+i), Address: fmt.Sprint("h", i), Zone: "a",
+		l.Hosts = append(l.Hosts, roster.Host{Name: fmt.Sprintf("s-%08x", 100+i), Address: fmt.Sprint("h", i),
+			Zone:   "a",
 			Status: "SERVING", Weight: 1})
 	}
 	return l
@@ -198,7 +199,8 @@
 func (w *world) nothingLeft() {
 	w.Helper()
 	w.pass(lingering + 5)
-	if len(w.n.conns) != 0 || w.n.descriptors != 0 || slices.ContainsFunc(w.n.flows, func(f *flow) bool { return f != nil }) {
+	if len(w.n.conns) != 0 || w.n.descriptors != 0 || slices.ContainsFunc(w.n.flows,
+		func(f *flow) bool { return f != nil }) {
 		w.Fatalf("left: %d connections, %d descriptors, flows %v", len(w.n.conns), w.n.descriptors, w.n.flows)
 	}
 }
@@ -296,7 +298,8 @@
 		{"another word", "HELLO\r\n", Open, "ERR\r\n", BadLine},
 		{"binary", "\x00\x01\xfe\n", Open, "ERR\r\n", BadLine},
 		{"over-long", strings.Repeat("x", 9000), Open, "ERR\r\n", ClientOdd},
-		{"over-long with an end", "OPEN 1 a1 c=chat,d=5,x=" + strings.Repeat("x", 4090) + "\r\n", Open, "ERR\r\n", ClientOdd},
+		{"over-long with an end", "OPEN 1 a1 c=chat,d=5,x=" + strings.Repeat("x", 4090) + "\r\n", Open, "ERR\r\n",
+			ClientOdd},
 		{"no timeout", "OPEN 1 a1 c=chat,t=acme\r\n", Open, "ERR\r\n", NoTimeout},
 		{"unknown service type", "OPEN 1 a1 c=else,t=acme,d=5\r\n", Open, "ERR\r\n", UnknownType},
 		{"open at an unknown host", "OPEN 1 a1 c=chat,t=acme,d=5,at=s-1\r\n", Open, "BUSY\r\n", UnknownHost},
@@ -342,7 +345,8 @@
 	w := newWorld(t, "proxy", 3, 100)
 	w.come(chat + ",g=5c,r=1,zz=1")
 	h := w.up()
-	if want := "OPEN 1f a1 c=chat,t=acme,d=993,g=5c,r=1,zz=1\r\n"; !strings.HasPrefix(w.said[h], "OPEN 1f a1 c=chat,t=acme,d=99") ||
+	if want := "OPEN 1f a1 c=chat,t=acme,d=993,g=5c,r=1,zz=1\r\n"; !strings.HasPrefix(w.said[h],
+		"OPEN 1f a1 c=chat,t=acme,d=99") ||
 		len(w.said[h]) != len(want) || !strings.HasSuffix(w.said[h], ",g=5c,r=1,zz=1\r\n") {
 		t.Fatalf("the host was told %q", w.said[h])
 	}
@@ -367,8 +371,10 @@
 			"M 1\r\nBYE\r\n", "M 1\r\n", "shut", "closed", Served},
 		{"sent away by its host", func(w *world, c, h Conn) { w.say(h, "MOVE\r\n", Ended) },
 			"MOVE\r\n", "", "shut", "closed", SentAway},
-		{"host resets", func(w *world, c, h Conn) { w.say(h, "M 2\r\nM", Broken) }, "M 2\r\n", "", "reset", "closed", HostReset},
-		{"host ends without a word", func(w *world, c, h Conn) { w.say(h, "", Ended) }, "", "", "shut", "closed", HostEnded},
+		{"host resets", func(w *world, c, h Conn) { w.say(h, "M 2\r\nM", Broken) }, "M 2\r\n", "", "reset",
+			"closed", HostReset},
+		{"host ends without a word", func(w *world, c, h Conn) { w.say(h, "", Ended) }, "", "", "shut", "closed",
+			HostEnded},
 		{"host says bye but stays", func(w *world, c, h Conn) { w.say(h, "BYE\r\n", Open); w.pass(1.01) },
 			"BYE\r\n", "", "shut", "closed", Served},
 		{"client ends, host answers", func(w *world, c, h Conn) {
@@ -381,7 +387,8 @@
 		}, "M 1\r\nBYE\r\n", "M 1\r\n", "closed", "closed", ClientEnded},
 		{"client ends, host does not", func(w *world, c, h Conn) { w.say(c, "", Ended); w.pass(endWait + 0.1) },
 			"", "", "closed", "closed", ClientEnded},
-		{"client resets", func(w *world, c, h Conn) { w.say(c, "", Broken) }, "", "", "closed", "reset", ClientReset},
+		{"client resets", func(w *world, c, h Conn) { w.say(c, "", Broken) }, "", "", "closed", "reset",
+			ClientReset},
 		{"joined and partial lines", func(w *world, c, h Conn) {
 			w.say(c, "A\r\nB\r\nC", Open)
 			w.say(c, "D\r\n", Open)
@@ -399,7 +406,11 @@
 			"", "", "shut", "reset", ClientOdd},
 		{"over-long from the host", func(w *world, c, h Conn) { w.say(h, strings.Repeat("q", 4097), Open) },
 			"", "", "shut", "reset", HostOdd},
-		{"host is silent while a line waits", func(w *world, c, h Conn) { w.say(c, "M 1\r\n", Open); w.pass(silentAfter + 0.1) },
+		{"host is silent while a line waits", func(w *world, c, h Conn) {
+			w.say(c, "M 1\r\n",
+				Open)
+			w.pass(silentAfter + 0.1)
+		},
 			"MOVE\r\n", "M 1\r\n", "shut", "closed", HostSilent},
 		{"host is silent in the midst of a line", func(w *world, c, h Conn) {
 			w.say(c, "M 1\r\n", Open)
@@ -459,7 +470,8 @@
 		host := w.up()
 		w.say(client, "", end)
 		if w.how[host] != "closed" || w.said[client] != "" || len(w.dials) != 1 {
-			t.Fatalf("the host's side is %q, the client was told %q, %d dials", w.how[host], w.said[client], len(w.dials))
+			t.Fatalf("the host's side is %q, the client was told %q, %d dials", w.how[host], w.said[client],
+				len(w.dials))
 		}
 		w.nothingLeft()
 		if got := w.ended(); len(got) != 1 || got[0] != ClientLeft {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -1,5 +1,5 @@
-// Package ring is a ring buffer for one direction of a connection. One side fills the free part that Space gives
-// while the other drains what Front gives: the two never overlap.
+// Package ring is a ring buffer for one direction of a connection. One side fills the free part that Space
+// gives while the other drains what Front gives: the two never overlap.
 package ring
 
 import "bytes"
--- a/internal/rundown/rundown.go
+++ b/internal/rundown/rundown.go
@@ -1,5 +1,5 @@
-// Package rundown reads the settings object that an instance is given at its start, for the module and for what
-// carries it.
+// Package rundown reads the settings object that an instance is given at its start, for the module and for
+// what carries it.
 package rundown
 
 import (
@@ -10,7 +10,8 @@
 	"gorseledge/placement"
 )
 
-// Door is what the adapters need of the settings beside the module's rundown: names and limits of connections.
+// Door is what the adapters need of the settings beside the module's rundown: names and limits of
+// connections.
 type Door struct {
 	Fields      []string // of a load report, in their order
 	Types       []string // service types
@@ -80,7 +81,8 @@
 	r := placement.Rundown{
 		Seed: seed, Nodes: whole(s.Siblings), Tick: span(s.Tick),
 		MaxConnects: whole(s.Limits.MaxConnects), Probes: s.Limits.Probes, Subscribe: s.Membership == "subscribe",
-		AskWithin: span(s.Invariants.AskWithin), ColdFrom: s.Invariants.ColdFrom, ColdFor: span(s.Invariants.ColdFor),
+		AskWithin: span(s.Invariants.AskWithin),
+		ColdFrom:  s.Invariants.ColdFrom, ColdFor: span(s.Invariants.ColdFor),
 		FallMultiple: s.Invariants.FallMultiple, FallFor: span(s.Invariants.FallFor),
 		Reports: s.Reporting.Source == "on_probe",
 		Quotas:  s.Family.Quotas,
--- a/internal/sockets/link.go
+++ b/internal/sockets/link.go
@@ -11,7 +11,8 @@
 	"gorseledge/internal/node"
 )
 
-// link is one connection: a socket with a goroutine that reads and one that writes, each one buffer at a time.
+// link is one connection: a socket with a goroutine that reads and one that writes, each one buffer at a
+// time.
 type link struct {
 	socket        *net.TCPConn // nil while it is dialed
 	cancel        context.CancelFunc
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -1,5 +1,5 @@
-// Package sockets carries out what the core asks for on real sockets. One loop calls the core; other goroutines only
-// read, write, dial and watch, and hand what came of it to the loop.
+// Package sockets carries out what the core asks for on real sockets. One loop calls the core; other
+// goroutines only read, write, dial and watch, and hand what came of it to the loop.
 package sockets
 
 import (
@@ -185,9 +185,9 @@
 		d.log.Info().Msg(e.Line)
 	case node.Done:
 		r := e.Record
-		d.log.Info().Str("reason", string(r.Reason)).Str("type", r.Type).Str("host", r.Host).Int("connects", r.Connects).
-			Float64("setup_s", round(r.Setup)).Float64("lasted_s", round(r.Lasted)).Uint64("up", r.Up).Uint64("down", r.Down).
-			Msg("ended")
+		d.log.Info().Str("reason", string(r.Reason)).Str("type", r.Type).Str("host", r.Host).
+			Int("connects", r.Connects).Float64("setup_s", round(r.Setup)).Float64("lasted_s", round(r.Lasted)).
+			Uint64("up", r.Up).Uint64("down", r.Down).Msg("ended")
 	case node.Exit:
 		return false
 	}
