--- a/placement/placement.go
+++ b/placement/placement.go
@@ -34,6 +34,7 @@
 	slack       = 1.1  // over a ceiling before connections are moved: loads swing by as much
 	homeFactor  = 2.0  // of the mean held; 1.25 and 3 measured worse
 	probePace   = 0.5  // between probes of one server set aside
+	probeNoise  = 4e-3 // what the time of a probe varies by on a sound network
 )
 
 type server struct {
@@ -48,9 +49,8 @@
 	bad, good               float64 // failures and connects established of late
 	aside, probing          bool
 	hold                    float64 // for how long it is set aside next time
-	answers                 int     // probes answered in a row
 	probeAt, least          float64 // when to probe next, the shortest time that a probe took
-	moves                   int     // in this beat
+	answers, moves          int     // probes answered in a row; connections moved in this beat
 	spent, luck, windowFrom float64 // in the cold window: connects sent, draw that rounds this part, its start
 }
 
@@ -445,7 +445,7 @@
 		s.answers = 0
 	} else if b.Timed { // guards against jams that no note tells of
 		s.least = min(cmp.Or(s.least, r.Took), r.Took)
-		b.slow(now, s, 4*b.aim*math.Pow(max(r.Took-1.25*s.least, 0)/(s.least+b.Tick), 2))
+		b.slow(now, s, 4*b.aim*math.Pow((r.Took-s.least)/(s.least+probeNoise), 2))
 	}
 	if s.aside && s.answers >= 2 {
 		s.aside, s.bad, s.good = false, 0, 0
