--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,14 +87,12 @@
 	gate            float64            // most connects out at once while failures are common; infinite else
 	gateAt          float64
 	aim             float64 // the shortest for a message
-	out             int     // connects out
 	scarce          float64 // share of flows of late that found no room
-	jammed          bool    // the last line on jams said so
 	tight           float64 // share of the servers holding connections of this node that were slow of late
 	blind           float64 // 1 for a node that holds nothing, near 0 for one that holds many a server
 	strain          float64 // chance that a flow goes to its group's home at once, by what was seen of jams
-	atHome          int     // open connections at their group's home less those at their primary
-	follows         bool    // a subscription stands or is asked for
+	out, atHome     int     // connects out; open connections at their group's home less those at their primary
+	follows, jammed bool    // a subscription stands or is asked for; the last line on jams said so
 	askAt, askGap   float64 // when to ask for the list (again)
 }
 
@@ -703,6 +701,9 @@
 	return Decision{Do: Abort, Flow: id}, true
 }
 
+// over tells whether a server holds too much: anything, once it drains, as clients must move before it goes.
+func (s *server) over() bool { return s.State == Draining || s.work > slack*s.ceiling }
+
 // excess moves connections off servers above their ceiling: members over their share first, then the heaviest
 // for their service type, so that none bears it alone. One a beat for each tenth of what a server holds.
 func (b *Balancer) excess() {
@@ -716,14 +717,14 @@
 	var over []int
 	for id := range b.flows {
 		f := &b.flows[id]
-		if f.open && !f.moved && f.load > 0 && b.servers[f.at].work > slack*b.servers[f.at].ceiling {
+		if f.open && !f.moved && f.load > 0 && b.servers[f.at].over() {
 			over = append(over, id)
 		}
 	}
 	slices.SortStableFunc(over, func(x, y int) int { return cmp.Compare(by(y), by(x)) })
 	for _, id := range over {
 		f := &b.flows[id]
-		if s := &b.servers[f.at]; s.work > slack*s.ceiling && s.moves <= s.held/10 {
+		if s := &b.servers[f.at]; s.over() && s.moves <= s.held/10 {
 			s.moves++
 			s.work -= f.load
 			f.load, f.moved = 0, true
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -704,3 +704,42 @@
 		}
 	}
 }
+
+// A server that drains may leave without a word to its clients: they are moved, at the pace of other moves.
+func TestMovedOffDraining(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state State
+		moved bool
+	}{{"ready", Ready, false}, {"draining", Draining, true}, {"gone: its connections end by themselves", Gone, false}} {
+		g := newRig(3, nil)
+		g.fill(0, 9)
+		on := g.servers[20].held
+		g.List(g.now, ListChanges, []Listing{g.entry(0, c.state)})
+		first, all := 0, map[int]bool{}
+		for _, d := range g.pass(beat) {
+			if d.Do == Move {
+				first++
+			}
+		}
+		for id := range g.flows {
+			all[id] = g.flows[id].moved
+		}
+		for _, d := range g.pass(5) {
+			if d.Do == Move && all[d.Flow] {
+				t.Errorf("%s: moved twice", c.name)
+			}
+		}
+		moved := 0
+		for id := range g.flows {
+			if f := &g.flows[id]; f.moved && f.at != 20 {
+				t.Errorf("%s: moved off another server", c.name)
+			} else if f.moved {
+				moved++
+			}
+		}
+		if moved != map[bool]int{true: on}[c.moved] || on < 3 || first > 1+on/10 {
+			t.Errorf("%s: %d of %d moved, %d in the first beat", c.name, moved, on, first)
+		}
+	}
+}
