One place says which outcomes never ran; simpler ends, probes and dials in the core

Found on a last read; no behaviour changed. The core judged anew which outcomes prove that a connect never ran: now Outcome.NeverRan serves it and the module. Two cases of a client's end were one. A descriptor check took a count that was always one, the seed was parsed as hexadecimal twice, a deferred call of the watch's end was bound to nothing (the group's context ends it), and a report that tells nothing was spelled out five times.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -60,12 +60,11 @@
 	n.dialed += 2
 	c := n.newConn(n.dialed, as)
 	c.host, c.own = host, words
+	n.wait(c, within)
 	if n.door.DialTimeout > 0 {
-		n.ask(Dial{c.id, n.hosts[host].address, min(within, n.door.DialTimeout)})
-	} else {
-		n.ask(Dial{c.id, n.hosts[host].address, within})
+		within = min(within, n.door.DialTimeout)
 	}
-	n.wait(c, within)
+	n.ask(Dial{c.id, n.hosts[host].address, within})
 	return c
 }
 
--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -9,7 +9,7 @@
 func (n *Node) connect(f *flow, at int, within float64) {
 	f.try++
 	f.on, f.out, f.sent, f.sentAt = at, true, false, n.now
-	if !n.affords(1) {
+	if !n.affords() {
 		n.connectOver(f, placement.NeverSent)
 		return
 	}
@@ -54,7 +54,7 @@
 	f.out = false
 	if f.carried {
 		n.module.Ended(n.now, f.id, f.try, how, true)
-		if how == placement.Full || how == placement.Unreached || how == placement.NeverSent {
+		if how.NeverRan() {
 			n.answer(f.client, line.BusyLine(0), NotCarried)
 		} else {
 			n.answer(f.client, []byte(line.ErrLine), NotCarried)
@@ -145,15 +145,13 @@
 	switch {
 	case c.role == probe:
 		n.broke(c)
-	case c.role == client && f == nil:
+	case c.role == client && (f == nil || f.over):
 		c.endUnasked(NoLine)
-		c.finish = Ended
-		n.flush(c)
-		if !c.closed && c.shut {
-			n.close(c, false)
+		if c.finish == Open {
+			c.finish = Ended
 		}
-	case c.role == client && f.over:
-		if c.shut || c.writing == 0 {
+		n.flush(c)
+		if c.shut { // all was said before
 			n.close(c, false)
 		}
 	case c.role == client && !f.established:
@@ -210,7 +208,7 @@
 	c.ended = Broken
 	switch {
 	case c.role == probe:
-		n.probed(c, broken(c.up && len(c.own) == 0, false), placement.Report{Load: -1})
+		n.probed(c, broken(c.up && len(c.own) == 0, false), untold)
 	case c.role == client && (f == nil || f.over):
 		c.endUnasked(ClientReset)
 		n.close(c, false)
@@ -234,7 +232,7 @@
 	f := c.flow
 	switch {
 	case c.role == probe:
-		n.probed(c, broken(c.up && len(c.own) == 0, true), placement.Report{Load: -1})
+		n.probed(c, broken(c.up && len(c.own) == 0, true), untold)
 	case c.role == client && f != nil && f.established && !f.over:
 		n.broke(c) // what was written to it failed
 	case c.role == client:
@@ -256,7 +254,7 @@
 	f := c.flow
 	switch {
 	case c.role == probe:
-		n.probed(c, placement.Errored, placement.Report{Load: -1})
+		n.probed(c, placement.Errored, untold)
 	case f == nil:
 		n.answer(c, []byte(line.ErrLine), ClientOdd)
 	case c.role == server && !f.established:
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -34,10 +34,8 @@
 	waits        []float64 // when lines went to the host that had none back
 }
 
-// affords tells whether that many more descriptors can be had, beside the few that are kept.
-func (n *Node) affords(more int) bool {
-	return n.descriptors+more+spareFew <= n.limit
-}
+// affords tells whether one more descriptor can be had, beside the few that are kept.
+func (n *Node) affords() bool { return n.descriptors+1+spareFew <= n.limit }
 
 // clientLine takes a line of a client and tells whether it is to be passed on.
 func (n *Node) clientLine(c *conn, text []byte) bool {
@@ -52,10 +50,11 @@
 	}
 	if word, _ := line.Split(text); word == line.Ping {
 		c.checked = true
-		c.own = append(c.own, line.ErrLine...)
+		words := line.ErrLine
 		if n.isReady() {
-			c.own = append(c.own[:len(c.own)-len(line.ErrLine)], line.PongLine...)
+			words = line.PongLine
 		}
+		c.own = append(c.own, words...)
 		n.wait(c, checkWait)
 		n.flush(c)
 		return false
@@ -76,7 +75,7 @@
 		n.answer(c, []byte(line.ErrLine), BadLine)
 	case !known:
 		n.answer(c, []byte(line.ErrLine), UnknownType)
-	case !n.affords(1):
+	case !n.affords():
 		n.answer(c, line.BusyLine(0), NoSockets)
 	case n.leaving && !n.door.PassThrough:
 		n.answer(c, line.BusyLine(0), Leaving)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -12,8 +12,7 @@
 	longestStay = 3.0 // however long the connect timeouts are
 )
 
-// leave begins the end. What was taken is still answered. Where packets pass through, connections are held,
-// as they outlive the node; elsewhere their clients are moved.
+// leave begins the end; what was taken is still answered.
 func (n *Node) leave() {
 	if n.leaving {
 		return
@@ -21,8 +20,8 @@
 	n.leaving, n.leaveAt = true, n.now
 }
 
-// depart moves what is established, also what became so meanwhile, and exits once nothing is left or it is
-// time.
+// depart goes on with it until nothing is left or it is time to exit. Where packets pass through, connections
+// are held, as they outlive the node; elsewhere their clients are moved, also those established meanwhile.
 func (n *Node) depart() {
 	stay := min(n.door.Longest, longestStay) + lastMargin
 	for _, f := range n.flows {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,10 +73,9 @@
 	// are not: where reports tell the load itself, the time of a probe adds nothing but noise.
 	s.Rundown.Timed = !s.Rundown.Reports
 	n := &Node{module: placement.New(s.Rundown), door: s.Door, now: now, conns: map[Conn]*conn{},
-		limit:  s.Sockets,
-		byName: map[string]int{}, types: places(s.Door.Types), tenants: places(s.Door.Tenants),
-		zones: places(s.Door.Zones), wakeAt: math.Inf(1), timerAt: math.Inf(1)}
-	n.probes = probeWords(s.Rundown.Reports)
+		limit: s.Sockets, probes: probeWords(s.Rundown.Reports), byName: map[string]int{},
+		types: places(s.Door.Types), tenants: places(s.Door.Tenants), zones: places(s.Door.Zones),
+		wakeAt: math.Inf(1), timerAt: math.Inf(1)}
 	n.list(placement.ListCached, s.Known)
 	return n
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -569,11 +569,10 @@
 			if w.said[open] != c.open || w.said[late] != c.late || w.said[waiting] != c.waitsFor || w.exited {
 				t.Fatalf("told %q, %q and %q, exited %v", w.said[open], w.said[late], w.said[waiting], w.exited)
 			}
-			if ping := w.accept(); true {
-				w.say(ping, "PING\r\n", Ended)
-				if w.said[ping] != "ERR\r\n" {
-					t.Fatalf("ready while it leaves: %q", w.said[ping])
-				}
+			ping := w.accept()
+			w.say(ping, "PING\r\n", Ended)
+			if w.said[ping] != "ERR\r\n" {
+				t.Fatalf("ready while it leaves: %q", w.said[ping])
 			}
 			w.pass(1.3)
 			if w.exited == c.stays {
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -7,6 +7,9 @@
 
 const probeWait = 1.0 // for the answer to a probe: a host that needs longer is no use for a flow either
 
+// untold is the report of a probe that brought none.
+var untold = placement.Report{Load: -1}
+
 func probeWords(reports bool) string {
 	if reports {
 		return line.StatLine
@@ -16,8 +19,8 @@
 
 // probe asks a host whether it serves.
 func (n *Node) probe(at int) {
-	if n.hosts[at].address == "" || !n.affords(1) {
-		n.module.Probed(n.now, at, placement.NeverSent, placement.Report{Load: -1})
+	if n.hosts[at].address == "" || !n.affords() {
+		n.module.Probed(n.now, at, placement.NeverSent, untold)
 		return
 	}
 	n.dial(probe, at, []byte(n.probes), probeWait)
@@ -25,7 +28,7 @@
 
 // probeLine takes the answer; anything but a PONG is a host that does not serve.
 func (n *Node) probeLine(c *conn, text []byte) {
-	how, r := placement.Errored, placement.Report{Load: -1}
+	how, r := placement.Errored, untold
 	if word, rest := line.Split(text); word == line.Pong {
 		how = placement.Served
 		if load, ok := line.Report(rest, "x0"); ok {
--- a/internal/node/timers.go
+++ b/internal/node/timers.go
@@ -31,7 +31,7 @@
 // calm takes back what a connection waits for.
 func (c *conn) calm() { c.turn++ }
 
-// ring looks at each connection whose time has come.
+// ringDue looks at each connection whose time has come.
 func (n *Node) ringDue() {
 	for len(n.dues) > 0 && n.dues[0].at <= n.now {
 		d := heap.Pop(&n.dues).(due)
--- a/internal/sockets/config.go
+++ b/internal/sockets/config.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"strconv"
 
 	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/line"
@@ -55,11 +54,7 @@
 
 // start turns the config into what the core is told. A known list that does not parse is as good as none.
 func (c Config) start() (node.Start, error) {
-	seed, err := strconv.ParseUint(c.Seed, 16, 64)
-	if err != nil {
-		seed = line.Number([]byte(c.Seed))
-	}
-	r, d, err := rundown.Read(c.Settings, seed)
+	r, d, err := rundown.Read(c.Settings, line.Number([]byte(c.Seed)))
 	if err != nil {
 		return node.Start{}, err
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -108,7 +108,6 @@
 }
 
 func (d *door) loop(stop <-chan os.Signal) error {
-	defer d.unwatch()
 	defer func() {
 		for _, l := range d.links {
 			l.close(false)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -299,8 +299,7 @@
 		wasOpen := f.open
 		b.letGo(f)
 		b.judge(now, f, how, wasOpen)
-		proved := how == Full || how == Unreached || how == NeverSent
-		if !proved && f.ranAt < 0 {
+		if !how.NeverRan() && f.ranAt < 0 {
 			f.ranAt, f.ranOn = f.sentAt, f.at
 		}
 	}
@@ -414,6 +413,7 @@
 	b.slow(now, &b.servers[b.flows[id].at], delay)
 }
 
+// slow takes how long a message takes at a server now, or what stands in for that.
 func (b *Balancer) slow(now float64, s *server, delay float64) {
 	if delay > b.aim {
 		s.jamAt = now
--- a/placement/types.go
+++ b/placement/types.go
@@ -101,6 +101,9 @@
 	NeverSent          // never left this node
 )
 
+// NeverRan tells whether an outcome proves that its connect had no effect.
+func (o Outcome) NeverRan() bool { return o == Full || o == Unreached || o == NeverSent }
+
 // Report is what a probe told of a server.
 type Report struct {
 	Load float64 // load asked over what it can do, negative where it was not told
