A node of many gives a cold server its even share by one draw a window

Cause: mayTake counts a node's part of the cold budget in windows of one second; at 80 nodes a part is 0.02 connects, and a node sees a flow in several seconds, so the part was void in nearly every window. Now a window's draw gives at the least the even share: the warmth for the flows whose entry it is, the rule's multiple of it for what spills from elsewhere.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -531,16 +531,17 @@
 }
 
 // mayTake keeps to this node's part of a cold server's budget in a window: what a warm server's connections,
-// spread over the warm-up, come to, times its warmth.
-func (b *Balancer) mayTake(now float64, s *server, warm, mean float64) bool {
+// spread over the warm-up, come to, times its warmth; at the least one connect by the chance least.
+func (b *Balancer) mayTake(now float64, s *server, warm, mean, least float64) bool {
 	if warm >= 1 {
 		return true
 	}
 	if now-s.windowFrom >= b.FallFor {
 		s.windowFrom, s.spent, s.luck = now, 0, b.chance()
 	}
-	// Guards against a hundred nodes that each round their part up to one connect and push the server over.
-	part := max(1/float64(b.Nodes), warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
+	// Guards against a part that is void in nearly every window, as one of a hundred nodes sees a flow in seconds:
+	// cold servers stood empty beside jammed ones. One draw a window, lest each of a hundred sends one.
+	part := max(least, 1/float64(b.Nodes), warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
 	return s.spent+1 <= part+s.luck
 }
 
@@ -616,7 +617,11 @@
 		}
 		s := &b.servers[at]
 		warm := b.warmth(now, s)
-		if mid && k == 0 && b.mayTake(now, s, warm, mean) {
+		share := warm // one flow in m enters here: the even share
+		if k > 0 {
+			share = min(warm, warm*b.FallMultiple/2/float64(m)) // what spills may come from everywhere
+		}
+		if mid && k == 0 && b.mayTake(now, s, warm, mean, share) {
 			return at
 		}
 		need := fits
@@ -627,10 +632,10 @@
 			continue
 		}
 		room = true
-		if slices.Contains(f.asked, at) || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean) {
+		if slices.Contains(f.asked, at) || !b.lawful(now, f, at) || !b.mayTake(now, s, warm, mean, share) {
 			continue
 		}
-		if float64(s.held) <= full*warm && (warm >= 1 || b.chance() < warm) {
+		if float64(s.held) <= full*warm && (warm >= 1 || mean < 1 || b.chance() < warm) {
 			return at
 		}
 		if over := float64(s.held) / warm; over < least {
