A delay that a host tells under LOAD is taken as a delay, not as a load

The probes of such hosts took 4 to 10 ms, so they told little, and nodes of many see one in 40 s. Settings have tells_delay.

Cause: hostLine took each LOAD for a load. Jammed hosts looked empty, their ceilings were never cut, and the usual loads of all service types were drawn towards nothing.

--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -5,6 +5,10 @@
 	"gorseledge/placement"
 )
 
+// A load below this share of a core is a delay: a message that takes seconds. Measured: of what is told to several
+// connections at once, nearly all lies below, of what is told to one a fiftieth.
+const leastLoad = 2e-3
+
 // connect sends a flow's first line to a host.
 func (n *Node) connect(f *flow, at int, within float64) {
 	f.try++
@@ -87,8 +91,8 @@
 	}
 	switch word {
 	case line.Load:
-		if load, ok := line.LoadOf(rest); ok {
-			n.module.LoadNote(f.id, load)
+		if x, ok := line.LoadOf(rest); ok {
+			n.note(f, x)
 		}
 	case line.Bye, line.Move:
 		f.last = word
@@ -99,6 +103,19 @@
 	return true
 }
 
+// note takes what a host tells of a connection: its load or, where the settings say that delays are told too, how
+// long a message takes there, in thousandths in place of millionths of a second. Both come under one word. Guards
+// against the delay of a jammed host, told to all its connections at once, being taken for a load of next to
+// nothing: the host that served nobody looked empty.
+func (n *Node) note(f *flow, x float64) {
+	if n.door.TellsDelay && (!n.door.TellsLoad || x < leastLoad && f.load >= x || x < leastLoad/2) {
+		n.module.DelayNote(n.now, f.id, x*1e3)
+		return
+	}
+	f.load = x
+	n.module.LoadNote(f.id, x)
+}
+
 // lineBack measures how long a message took.
 func (n *Node) lineBack(f *flow) {
 	if len(f.waits) == 0 {
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -29,6 +29,7 @@
 	last         line.Word // what the host said before its end
 	sentAt       float64
 	setup        float64
+	load         float64   // as it was told last
 	waits        []float64 // when lines went to the host that had none back
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -547,6 +547,35 @@
 	}
 }
 
+// Hosts tell a load and a delay under one word. Guards against the delay of a jam being taken for a load of next to
+// nothing: on the days of a large fleet the jammed hosts looked empty, and flows went on to them.
+func TestDelaysUnderLoad(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		delays, loads bool
+		notes         string
+		jammed        bool
+	}{
+		{"a load", true, true, "LOAD 35090.7\r\n", false},
+		{"a delay", true, true, "LOAD 35090.7\r\nLOAD 383.3\r\n", true},
+		{"a delay before any load", true, true, "LOAD 383.3\r\n", true},
+		{"a long delay", true, true, "LOAD 35090.7\r\nLOAD 1431.5\r\n", true},
+		{"a delay that says it has cleared", true, true, "LOAD 35090.7\r\nLOAD 5.1\r\n", false},
+		{"no delays are told", false, true, "LOAD 383.3\r\n", false},
+		{"no loads are told", true, false, "LOAD 35090.7\r\n", true},
+		{"a small load before any other", true, true, "LOAD 1431.5\r\n", false},
+	} {
+		w := newWorld(t, "proxy", 1, 100)
+		w.n.door.TellsDelay, w.n.door.TellsLoad = c.delays, c.loads
+		_, host := w.established(chat)
+		w.say(host, c.notes, Open)
+		w.pass(0.1)
+		if w.come(chat); (len(w.dials) == 1) != c.jammed {
+			t.Errorf("%s: %d dials", c.name, len(w.dials))
+		}
+	}
+}
+
 // A client that is gone before its answer: nothing is left out for it.
 func TestClientLeaves(t *testing.T) {
 	for _, end := range []End{Ended, Broken} {
--- a/internal/rundown/rundown.go
+++ b/internal/rundown/rundown.go
@@ -19,6 +19,8 @@
 	Zones       []string
 	DialTimeout float64 // a connection that is not up by then never comes up
 	Longest     float64 // the longest connect timeout
+	TellsLoad   bool    // hosts tell a connection's load
+	TellsDelay  bool    // hosts tell how long a message takes
 	PassThrough bool    // packets pass through: connections outlive the node
 }
 
@@ -27,6 +29,8 @@
 	Family struct {
 		MessageAim []float64 `json:"message_aim_us"`
 		Mode       string    `json:"mode"`
+		TellsDelay bool      `json:"tells_delay"`
+		TellsLoad  bool      `json:"tells_load"`
 		Quotas     []float64 `json:"tenant_quota_connections"`
 	} `json:"family_info"`
 	Tick       float64 `json:"granularity_us"`
@@ -91,7 +95,7 @@
 		r.RetryAdvice = span(s.Limits.MaxRetryAfter)
 	}
 	d := Door{Fields: s.Reporting.Fields, Zones: s.Zones, DialTimeout: span(s.Limits.DialTimeout),
-		PassThrough: s.Family.Mode == "pass"}
+		TellsLoad: s.Family.TellsLoad, TellsDelay: s.Family.TellsDelay, PassThrough: s.Family.Mode == "pass"}
 	for _, p := range s.Parties {
 		d.Tenants = append(d.Tenants, p.Name)
 	}
--- a/internal/rundown/rundown_test.go
+++ b/internal/rundown/rundown_test.go
@@ -16,7 +16,7 @@
 		fails      string
 	}{
 		{"nothing told", "{}", placement.Rundown{Seed: 9}, Door{}, ""},
-		{"all that is read", `{"family_info":{"message_aim_us":[50000],"mode":"pass","tenant_quota_connections":[90]},
+		{"all that is read", `{"family_info":{"message_aim_us":[50000],"mode":"pass","tells_delay":true,"tells_load":true,"tenant_quota_connections":[90]},
 			"granularity_us":4000,"invariants":{"ask_within_us":1e7,"cold_from":0.3,"cold_us":8e6,"fall_multiple":4,
 			"fall_us":1e6},"limits":{"dial_timeout_us":250000,"max_connects":5,"max_retry_after_us":2e6,"probes":true,
 			"retry_after":true},"membership_mode":"subscribe","parties":[{"name":"a"}],"reporting":{"fields":["x0"],
@@ -28,7 +28,7 @@
 				Types: []placement.ServiceType{{Effect: placement.Referenced, Group: placement.GroupZone, MemorySpan: 5,
 					SetupTarget: span(5e5), MessageAim: span(50000)}, {Effect: placement.OnceOnly}}},
 			Door{Fields: []string{"x0"}, Types: []string{"s", "u"}, Tenants: []string{"a"}, Zones: []string{"z"},
-				DialTimeout: 0.25, Longest: 3, PassThrough: true}, ""},
+				DialTimeout: 0.25, Longest: 3, PassThrough: true, TellsDelay: true, TellsLoad: true}, ""},
 		{"no retry time allowed", `{"limits":{"max_retry_after_us":2e6}}`, placement.Rundown{Seed: 9}, Door{}, ""},
 		{"below nothing", `{"granularity_us":-4,"siblings":-2,"limits":{"max_connects":-1}}`,
 			placement.Rundown{Seed: 9},
