All nodes together move a part of what is on a jammed server, by chance under one connection

Seen on join+vast and herd+vast: jammed hosts kept 30 to 50 connections for as long as those lived, while 80 nodes held one or two each there and all were told of the delay. A ceiling never went under one mean connection (lower's floor), so none was over it.

Change: the floor shrinks with what a node sees (blindness), and what is over by less than a connection counts by one draw a cut.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -51,6 +51,7 @@
 	aside, probing          bool
 	hold                    float64 // for how long it is set aside next time
 	probeAt, least          float64 // when to probe next, the shortest time that a probe took
+	round                   float64 // draw that rounds what is over a ceiling under one connection
 	answers, moves          int     // probes answered in a row; connections moved in this beat
 	spent, luck, windowFrom float64 // in the cold window: connects sent, draw that rounds this part, its start
 }
@@ -379,7 +380,8 @@
 		return
 	}
 	s.cutAt = now
-	s.ceiling = max(by*min(s.work, s.ceiling), b.meanLoad()) // lower floors measured worse
+	s.ceiling = max(by*min(s.work, s.ceiling), b.meanLoad()*(1-b.blind)) // lower floors measured worse
+	s.round = b.chance() // guards against a floor of one connection a node, which for a hundred nodes is no ceiling
 }
 
 // LoadNote takes the load of an open connection.
@@ -706,8 +708,12 @@
 	return Decision{Do: Abort, Flow: id}, true
 }
 
-// over tells whether a server holds too much: anything, once it drains, as clients must move before it goes.
-func (s *server) over() bool { return s.State == Draining || s.work > slack*s.ceiling }
+// over tells whether a server holds too much: anything, once it drains, as clients must move before it goes. What is
+// over by less than one connection counts by chance, so that all nodes together move about what is over.
+func (b *Balancer) over(s *server) bool {
+	return s.State == Draining || s.work > slack*s.ceiling &&
+		(s.ceiling >= b.meanLoad() || s.work-s.ceiling > s.round*s.work)
+}
 
 // excess moves connections off servers above their ceiling: members over their share first, then the heaviest
 // for their service type, so that none bears it alone. One a beat for each tenth of what a server holds.
@@ -722,14 +728,14 @@
 	var over []int
 	for id := range b.flows {
 		f := &b.flows[id]
-		if f.open && !f.moved && f.load > 0 && b.servers[f.at].over() {
+		if f.open && !f.moved && f.load > 0 && b.over(&b.servers[f.at]) {
 			over = append(over, id)
 		}
 	}
 	slices.SortStableFunc(over, func(x, y int) int { return cmp.Compare(by(y), by(x)) })
 	for _, id := range over {
 		f := &b.flows[id]
-		if s := &b.servers[f.at]; s.over() && s.moves <= s.held/10 {
+		if s := &b.servers[f.at]; b.over(s) && s.moves <= s.held/10 {
 			s.moves++
 			s.work -= f.load
 			f.load, f.moved = 0, true
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -267,6 +267,45 @@
 	}
 }
 
+// A hundred nodes with one connection each on a jammed server: each alone holds too little to be over any ceiling, so none
+// moved its own, and the jam stood for as long as its connections lived. Now a part of all nodes moves theirs
+// at each note, and more while it goes on, but never all at once.
+func TestJamOfOneConnectionEach(t *testing.T) {
+	const nodes, at = 100, 3
+	for _, c := range []struct {
+		name        string
+		delay       float64 // in message aims
+		notes       int     // a second apart
+		least, most int     // moved in all
+	}{
+		{"no jam", 0.2, 3, 0, 0},
+		{"a light one, three notes", 1.5, 3, 1, 30},
+		{"a heavy one, one note", 6, 1, 8, 40},
+		{"a heavy one that goes on", 6, 5, 60, 100},
+	} {
+		moved := 0
+		for seed := range nodes {
+			g := newRig(10, func(r *Rundown) { r.Nodes, r.Seed = nodes, uint64(seed) })
+			g.arrive(0, Arrival{Key: keyFor(at, 10)})
+			g.Established(0, 0, 0.02)
+			g.LoadNote(0, 0.02)
+			g.pass(1)
+			for range c.notes {
+				g.DelayNote(g.now, 0, c.delay*g.aim)
+				for _, d := range g.pass(1.25) {
+					if d.Do == Move {
+						moved++
+						g.Ended(g.now, 0, 0, CalledOff, true)
+					}
+				}
+			}
+		}
+		if moved < c.least || moved > c.most {
+			t.Errorf("%s: %d of %d moved, wanted %d to %d", c.name, moved, nodes, c.least, c.most)
+		}
+	}
+}
+
 func TestPacedReturns(t *testing.T) {
 	for _, c := range []struct {
 		name         string
