A server that cannot be reached is set aside whatever the others do; drains get three seconds first

A refused connect tells of its server alone, so the share of failures at the others does not count for it, and two thirds of the ready servers may be aside for it.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,6 +33,7 @@
 	listPace    = 500  // lines a second that any list service is trusted with
 	slack       = 1.1  // over a ceiling before connections are moved: loads swing by as much
 	homeFactor  = 2.0  // of the mean held; 1.25 and 3 measured worse
+	drainWait   = 3.0  // for a server that drains to send its clients away itself
 	probePace   = 0.5  // between probes of one server set aside
 	probeNoise  = 4e-3 // what the time of a probe varies by on a sound network
 	probeSpread = 3.0  // of the shortest anywhere is sound; measured 1.4 to 4.3 ms
@@ -46,6 +47,7 @@
 	work                    float64 // their load
 	ceiling                 float64 // of work, once it was seen to be too much; infinite before
 	cutAt, toldAt           float64 // when the ceiling was last lowered, and when a report last set it
+	drainAt                 float64 // when it was first told to drain
 	jamAt, fullAt           float64 // last in a jam, last turned a connect away: nothing new for a while
 	bad, good               float64 // failures and connects established of late
 	aside, probing          bool
@@ -162,6 +164,9 @@
 			*s = unknown()
 			s.held, s.work, s.probing = held, work, probing
 		}
+		if it.State == Draining && s.State != Draining {
+			s.drainAt = now
+		}
 		s.Listing, s.listed, s.mark = it, it.State != Gone, mix(uint64(it.ID))
 	}
 	b.base = b.base[:0]
@@ -366,7 +371,13 @@
 		b.gateAt = now
 		b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 	}
-	if s.bad/(s.bad+s.good) > 0.2+2*common && !s.aside && s.listed && out <= max(1, ready/3) {
+	// A refused connect tells of its server alone. Guards against a list told late, most of which has gone: nodes of few
+	// flows took many dead servers for a trouble that all share, and went on trying them.
+	most := max(1, ready/3)
+	if how == Unreached {
+		common, most = 0, max(1, ready*2/3)
+	}
+	if s.bad/(s.bad+s.good) > 0.2+2*common && !s.aside && s.listed && out <= most {
 		s.aside, s.answers, s.probeAt = true, 0, now+s.hold
 		b.say("server %d set aside for %.1f s: %.1f failures to %.1f established, %d of %d out", s.ID, s.hold,
 			s.bad, s.good, out, ready)
@@ -381,7 +392,7 @@
 	}
 	s.cutAt = now
 	s.ceiling = max(by*min(s.work, s.ceiling), b.meanLoad()*(1-b.blind)) // lower floors measured worse
-	s.round = b.chance() // guards against a floor of one connection a node, which for a hundred nodes is no ceiling
+	s.round = b.chance()                                                 // guards against a floor of one connection a node, which for a hundred nodes is no ceiling
 }
 
 // LoadNote takes the load of an open connection.
@@ -710,14 +721,14 @@
 
 // over tells whether a server holds too much: anything, once it drains, as clients must move before it goes. What is
 // over by less than one connection counts by chance, so that all nodes together move about what is over.
-func (b *Balancer) over(s *server) bool {
-	return s.State == Draining || s.work > slack*s.ceiling &&
+func (b *Balancer) over(now float64, s *server) bool {
+	return s.State == Draining && now-s.drainAt > drainWait || s.work > slack*s.ceiling &&
 		(s.ceiling >= b.meanLoad() || s.work-s.ceiling > s.round*s.work)
 }
 
 // excess moves connections off servers above their ceiling: members over their share first, then the heaviest
 // for their service type, so that none bears it alone. One a beat for each tenth of what a server holds.
-func (b *Balancer) excess() {
+func (b *Balancer) excess(now float64) {
 	by := func(id int) float64 {
 		f := &b.flows[id]
 		if b.overShare(f.tenant) {
@@ -728,14 +739,14 @@
 	var over []int
 	for id := range b.flows {
 		f := &b.flows[id]
-		if f.open && !f.moved && f.load > 0 && b.over(&b.servers[f.at]) {
+		if f.open && !f.moved && f.load > 0 && b.over(now, &b.servers[f.at]) {
 			over = append(over, id)
 		}
 	}
 	slices.SortStableFunc(over, func(x, y int) int { return cmp.Compare(by(y), by(x)) })
 	for _, id := range over {
 		f := &b.flows[id]
-		if s := &b.servers[f.at]; b.over(s) && s.moves <= s.held/10 {
+		if s := &b.servers[f.at]; b.over(now, s) && s.moves <= s.held/10 {
 			s.moves++
 			s.work -= f.load
 			f.load, f.moved = 0, true
@@ -755,7 +766,7 @@
 	}
 	if b.beatAt < 0 {
 		b.beatAt = now + beat
-		b.excess()
+		b.excess(now)
 		b.asks = append(b.asks, Decision{Do: Wake, Within: beat})
 	}
 	if len(b.asks) > 0 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -407,6 +407,41 @@
 	}
 }
 
+// A list told late, half of whose servers are gone: refused connects tell of each alone, and a node of few flows learns
+// it from one. Taken for a trouble that all share, dead servers were tried again and again.
+func TestManyUnreached(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		dead, of, out    int
+		how              Outcome
+		longestAsidePart float64
+	}{
+		{"one of nine", 1, 9, 1, Unreached, 1},
+		{"five of nine", 5, 9, 5, Unreached, 1},
+		{"all of nine: a third stay, as it may be this node", 9, 9, 6, Unreached, 0.7},
+		{"five that err: what they share may be sick", 5, 9, 1, Errored, 0.4},
+	} {
+		g := newRig(c.of, nil)
+		for i := range c.dead {
+			d, at := g.arrive(i, Arrival{Key: keyFor(i, c.of), Left: 3})
+			if at != i {
+				continue // set aside or full: nothing to learn
+			}
+			g.Ended(g.now, d.Flow, 0, c.how, true)
+			g.pull()
+		}
+		aside := 0
+		for i := range g.servers {
+			if g.servers[i].aside {
+				aside++
+			}
+		}
+		if aside < c.out || float64(aside) > c.longestAsidePart*float64(c.of) {
+			t.Errorf("%s: %d of %d set aside, wanted %d at the least", c.name, aside, c.of, c.out)
+		}
+	}
+}
+
 // One server that answers with errors is set aside; the gate is for what servers share and stays open.
 func TestOneSickServerLeavesTheGate(t *testing.T) {
 	g := newRig(9, nil)
@@ -861,6 +896,11 @@
 		on := g.servers[20].held
 		g.List(g.now, ListChanges, []Listing{g.entry(0, c.state)})
 		first, all := 0, map[int]bool{}
+		for _, d := range g.pass(drainWait) { // servers that send their clients away do so meanwhile
+			if d.Do == Move {
+				t.Errorf("%s: moved off before the server could send it away", c.name)
+			}
+		}
 		for _, d := range g.pass(beat) {
 			if d.Do == Move {
 				first++
