--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"gorseledge/internal/line"
 	"gorseledge/placement"
 )
@@ -53,7 +52,6 @@
 
 // connectOver tells the module how a connect ended that did not become a connection.
 func (n *Node) connectOver(f *flow, how placement.Outcome) {
-	n.ask(Note{fmt.Sprintf("TR fail %s %s mid%v back%v carried%v try%d how%d", n.hosts[f.on].name, f.opening.ID[:6], f.opening.MidFlow, f.opening.Back, f.carried, f.try, how)})
 	if f.host != nil {
 		n.close(f.host, false)
 	}
@@ -88,7 +86,6 @@
 		if !f.carried {
 			n.module.Established(f.id, f.try, n.now-f.sentAt)
 		}
-		n.ask(Note{fmt.Sprintf("TR up %s %s mid%v back%v carried%v try%d g%x k%x took%.3f", n.hosts[f.on].name, f.opening.ID[:6], f.opening.MidFlow, f.opening.Back, f.carried, f.try, f.opening.Group, f.opening.Key, n.now-f.sentAt)})
 		n.scan(f.client)
 		return true
 	}
@@ -112,11 +109,9 @@
 // nothing: the host that served nobody looked empty.
 func (n *Node) note(f *flow, x float64) {
 	if n.door.TellsDelay && (!n.door.TellsLoad || x < leastLoad && f.load >= x || x < leastLoad/2) {
-		n.ask(Note{fmt.Sprintf("DL %s %s %.4f", n.hosts[f.on].name, f.opening.ID[:6], x*1e3)})
 		n.module.DelayNote(n.now, f.id, x*1e3)
 		return
 	}
-	n.ask(Note{fmt.Sprintf("LD %s %s %.6f", n.hosts[f.on].name, f.opening.ID[:6], x)})
 	f.load = x
 	n.module.LoadNote(f.id, x)
 }
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"errors"
 
 	"gorseledge/internal/line"
@@ -172,8 +171,5 @@
 			r.Host, r.Up = n.hosts[f.on].name, f.host.passed
 		}
 	}
-	if f := c.flow; f != nil {
-		n.ask(Note{fmt.Sprintf("TR end %s %s mid%v back%v est%v %s try%d", n.hosts[f.on].name, f.opening.ID[:6], f.opening.MidFlow, f.opening.Back, f.established, c.reason, f.try)})
-	}
 	n.ask(Done{r})
 }
