--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -991,3 +991,90 @@
 		}
 	})
 }
+
+// What discovery may say wrongly, or again and again: each has a stated treatment, and each flow gets its answer.
+func TestOddLists(t *testing.T) {
+	thousand := hostList(1000)
+	twice := hostList(1)
+	twice.Hosts = append(twice.Hosts, roster.Host{Name: twice.Hosts[0].Name, Address: "h7", Status: "SERVING"})
+	back := hostList(1)
+	back.Index = 2
+	change := func(index int64, name, address string) roster.List {
+		return roster.List{Index: index, Hosts: []roster.Host{{Name: name, Address: address, Status: "SERVING", Since: -5}}}
+	}
+	for _, c := range []struct {
+		name  string
+		lists []roster.List
+		known int    // hosts listed at the end
+		index int64  // from which a watch is taken up again
+		to    string // where a flow goes; BUSY for nowhere
+	}{
+		{"an empty whole list: nobody serves", []roster.List{{Index: 8, Whole: true}}, 0, 8, "BUSY"},
+		{"an empty change changes nothing", []roster.List{hostList(1), {Index: 9}}, 1, 9, "h0"},
+		{"a thousand hosts", []roster.List{thousand}, 1000, 6, "h"},
+		{"one name under two addresses: the last counts", []roster.List{twice}, 1, 6, "h7"},
+		{"a name under a new address, told later", []roster.List{hostList(1), change(7, "s-00000064", "h8")}, 1, 7, "h8"},
+		{"an index that goes back with a whole list: that list counts", []roster.List{thousand, back}, 1, 2, "h0"},
+		{"an index that goes back with a change", []roster.List{hostList(1), change(3, "s-00000064", "h5")}, 1, 3, "h5"},
+		{"a name that is no number", []roster.List{{Index: 6, Whole: true, Hosts: []roster.Host{{Name: "\x00é", Address: "h3",
+			Status: "SERVING"}}}}, 1, 6, "h3"},
+	} {
+		w := newWorld(t, "proxy", 2, 1000)
+		for _, l := range c.lists {
+			w.do(Listed{l})
+		}
+		client := w.come(chat)
+		got := strings.TrimSpace(w.said[client])
+		if len(w.dials) > 0 {
+			got = w.address[w.dials[0]]
+		}
+		if !strings.HasPrefix(got, c.to) {
+			t.Errorf("%s: to %q, wanted %q", c.name, got, c.to)
+		}
+		w.do(Unlisted{Why: "the end"})
+		w.pass(8)
+		if len(w.watches) == 0 || w.watches[len(w.watches)-1] != c.index {
+			t.Errorf("%s: watches from %v, wanted the last from %d", c.name, w.watches, c.index)
+		}
+	}
+}
+
+// A watch that ends at once, again and again: whether it told something or not, it is not taken up in step with it.
+func TestWatchEndsAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		tells bool
+		most  int // watches in a minute
+	}{{"refused", false, 20}, {"a list, then its end", true, 125}} {
+		w := newWorld(t, "proxy", 1, 100)
+		w.watches = nil
+		w.n.watching = false
+		w.do(Unlisted{Why: "the end"})
+		for seen := 0; w.now < 1e9+60; w.pass(0.01) {
+			if len(w.watches) > seen {
+				seen = len(w.watches)
+				if c.tells {
+					w.do(Listed{hostList(1)})
+				}
+				w.do(Unlisted{Why: "the end"})
+			}
+		}
+		if n := len(w.watches); n < 4 || n > c.most {
+			t.Errorf("%s: %d watches in a minute", c.name, n)
+		}
+	}
+}
+
+// A SIGHUP or SIGTERM while the list is lost: a flow that waits still gets its one answer.
+func TestSignalsWhileDiscoveryIsOut(t *testing.T) {
+	for _, in := range []Input{Relocated{}, Leave{}} {
+		w := newWorld(t, "proxy", 1, 100)
+		c := w.come(chat)
+		w.do(Unlisted{Why: "the end"})
+		w.do(in)
+		w.say(w.up(), "UP 5\r\n", Open)
+		if want := "UP 5\r\n"; !strings.HasPrefix(w.said[c], want) {
+			t.Errorf("%T: told %q", in, w.said[c])
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -146,7 +146,7 @@
 func (b *Balancer) List(now float64, kind ListKind, items []Listing) {
 	if kind == ListFailed {
 		b.follows = false
-		b.askGap = min(max(2*b.askGap, 0.5, b.listTime()/2), max(b.AskWithin, 0.5))
+		b.askGap = min(max(2*b.askGap, 0.5, b.listTime()/2), max(cmp.Or(b.AskWithin, longestHold), 0.5))
 		b.askAt = now + b.askGap*(0.5+b.chance())
 		b.say("list call failed, next in %.1f s, %d servers known", b.askAt-now, len(b.base))
 		return
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"testing"
 )
@@ -927,3 +928,49 @@
 		}
 	}
 }
+
+// What all nodes together ask of discovery and of servers, at any number of them. Guards against costs that are nothing for one
+// node and a flood for a thousand: probes of servers in use, first list calls, connects to a cold server.
+func TestSumsOverAllNodes(t *testing.T) {
+	const servers = 60
+	for _, nodes := range []int{1, 3, 80, 1000} {
+		probes, connects, calls := 0.0, 0.0, make([]float64, 1000)
+		played := min(nodes, 40) // of which each stands for several
+		each := float64(nodes) / float64(played)
+		for seed := range played {
+			g := newRig(servers, func(r *Rundown) {
+				r.Nodes, r.Seed, r.Timed, r.Subscribe, r.AskWithin, r.FallFor = nodes, uint64(seed), true, true, 1000, 1
+			})
+			cached := make([]Listing, servers)
+			for i := range cached {
+				cached[i] = g.entry(i, Ready)
+			}
+			g.follows = false
+			g.List(g.now, ListCached, cached)
+			calls[int(g.askAt-g.now)] += each
+			cached[7].Since = g.now
+			g.List(g.now, ListChanges, cached[7:8])
+			g.fill(seed*1000, max(1200/nodes, 1)) // 1200 connections over all nodes, in one second
+			connects += each * float64(g.servers[g.index(7)].held)
+			for range 20 { // 5 s
+				for _, d := range g.pass(beat) {
+					if d.Do == Probe {
+						probes += each
+						g.Probed(g.now, d.Server, Served, Report{Load: -1, Took: 0.004})
+					}
+				}
+			}
+		}
+		// Two a server and second, and one a server that each node begins with.
+		if most := 5*2*servers*1.4 + float64(min(nodes*servers, 1200)); probes > most {
+			t.Errorf("%d nodes: %.0f probes in 5 s, wanted %.0f at the most", nodes, probes, most)
+		}
+		// The rule's multiple of what a warm server's even share comes to, at a fifth of its warmth.
+		if most := 0.2 * 3 * 1200 / servers; connects > most+3*math.Sqrt(most*each) {
+			t.Errorf("%d nodes: %.0f connects to a cold server, wanted %.0f at the most", nodes, connects, most)
+		}
+		if most := listPace/servers + 1.0; slices.Max(calls) > 3*most+3*each {
+			t.Errorf("%d nodes: %.0f first list calls in one second, wanted about %.0f", nodes, slices.Max(calls), most)
+		}
+	}
+}
