Emulator: fleets of real node cores on a virtual clock, with scripted faults and checkers

A discrete-event world plays real node cores (internal/node with placement) against stand-in clients, hosts, discovery, front and session store: bytes arrive in order and in pieces, with delay and bandwidth; machines die, vanish, stall and come back cold. Scripts are strict TOML: what is wrong is one message with file and line. Checkers after every step look for one answer, one connect out, no effect twice, drains, cold hosts.

Checkers of answers and drains are shown to fire on wrong nodes.

--- /dev/null
+++ b/internal/emulator/faults.go
@@ -0,0 +1,167 @@
+package emulator
+
+import "slices"
+
+// befall has a fault happen now.
+func (w *World) befall(f Fault) {
+	w.trace("fault %s host %d node %d zone %d count %d for %g by %g", f.Kind, f.Host, f.Node, f.Zone, f.Count, f.For, f.By)
+	host := func() *host { return w.hosts[f.Host%max(len(w.hosts), 1)] }
+	switch f.Kind {
+	case "grow":
+		for range f.Count {
+			w.addHost(w.now)
+		}
+	case "shrink", "release":
+		for i := range f.Count {
+			w.after(f.For*float64(i)/float64(f.Count), func() {
+				if h := w.oldest(); h != nil {
+					w.retire(h)
+					if f.Kind == "release" {
+						w.addHost(w.now)
+					}
+				}
+			})
+		}
+	case "zone_loss":
+		for _, h := range w.hosts {
+			if h.zone == f.Zone && h.state != gone {
+				w.lose(h, f.For)
+			}
+		}
+	case "roster_late":
+		w.discovery.late += f.By
+		w.after(f.For, func() { w.discovery.late -= f.By })
+	case "roster_down":
+		w.discovery.fall(f.For)
+	case "drop":
+		for _, c := range w.clients {
+			if c.up && w.chance.Float64() < f.By {
+				c.quit(true)
+				c.back = true
+				c.again(f.For * w.chance.Float64())
+			}
+		}
+	case "slow":
+		h := host()
+		h.slow = max(f.By, 1)
+		w.after(f.For, func() { h.slow = 1 })
+	case "errs":
+		h := host()
+		h.errs = f.By
+		w.after(f.For, func() { h.errs = 0 })
+	case "crash":
+		if h := host(); h.running {
+			h.crash()
+			w.after(f.For, func() { w.revive(h) })
+		}
+	case "vanish":
+		w.lose(host(), f.For)
+	case "drain":
+		if h := host(); h.state == serving {
+			h.state = draining
+			w.discovery.tell(h, "DRAINING")
+			w.after(f.For, func() { w.remove(h) })
+		}
+	case "stall":
+		h := host()
+		h.stalled = true
+		w.after(f.For, func() { h.stalled = false })
+	case "store_slow":
+		was := w.store.bears
+		w.store.bears = max(f.By, 0.1)
+		w.after(f.For, func() { w.store.bears = was })
+	case "node_kill":
+		w.kill(w.nodes[f.Node], f.For)
+	case "node_restart":
+		n := w.nodes[f.Node]
+		if n.running {
+			n.give(leave)
+			w.after(4, func() { w.kill(n, f.For) })
+		}
+	}
+}
+
+// oldest is the first host that serves and has no end in sight.
+func (w *World) oldest() *host {
+	i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.state == serving && h.running && !h.vanished })
+	if i < 0 {
+		return nil
+	}
+	return w.hosts[i]
+}
+
+// retire drains a host and takes it away six seconds later.
+func (w *World) retire(h *host) {
+	h.state = draining
+	w.discovery.tell(h, "DRAINING")
+	w.after(6, func() { w.remove(h) })
+}
+
+func (w *World) remove(h *host) {
+	if h.state == gone {
+		return
+	}
+	h.state = gone
+	w.discovery.tell(h, "DELETED")
+	if h.running {
+		h.crash()
+	}
+}
+
+// lose has a machine vanish without a word, and come back cold.
+func (w *World) lose(h *host, lasts float64) {
+	if h.vanished || h.state == gone {
+		return
+	}
+	h.vanished = true
+	w.after(lasts, func() {
+		h.vanished = false
+		h.crash()
+		w.revive(h)
+	})
+}
+
+// revive starts a host anew, which the list tells under a new start time.
+func (w *World) revive(h *host) {
+	if h.state == gone {
+		return
+	}
+	h.start()
+	w.discovery.tell(h, "SERVING")
+}
+
+// kill ends a node's process outright, and starts it again.
+func (w *World) kill(n *station, back float64) {
+	if n.running {
+		n.stop()
+	}
+	w.after(back, func() {
+		if !n.running {
+			w.boot(n)
+		}
+	})
+}
+
+// drawn gives the faults that the seed adds to the script.
+func (w *World) drawn() (out []Fault) {
+	chance := fork(w.seed, "faults", 0)
+	names := Kinds()
+	f := w.script.Fleet
+	for range w.script.Drawn {
+		x := Fault{At: chance.Float64() * w.script.Lasts, Kind: names[chance.IntN(len(names))], For: 1 + 9*chance.Float64(),
+			Host: chance.IntN(max(f.Hosts, 1)), Node: chance.IntN(f.Nodes), Zone: chance.IntN(f.Zones),
+			Count: 1 + chance.IntN(max(f.Hosts/2, 1))}
+		switch x.Kind {
+		case "drop", "errs":
+			x.By = 0.2 + 0.5*chance.Float64()
+		case "store_slow":
+			x.By = 1 + 20*chance.Float64()
+		default:
+			x.By = 1 + 6*chance.Float64()
+		}
+		if f.Hosts > 0 || !kinds[x.Kind].host {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/emulator/script.go
@@ -0,0 +1,264 @@
+package emulator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Scenario is a script: a fleet, its traffic and what befalls it. Times are seconds, loads shares of a core.
+type Scenario struct {
+	Name     string    `toml:"name"`
+	Lasts    float64   `toml:"lasts"`
+	Settle   float64   `toml:"settle"` // after the last arrival, for what is under way
+	Fleet    Fleet     `toml:"fleet"`
+	Network  Network   `toml:"network"`
+	Rules    Rules     `toml:"rules"`
+	Traffic  []Traffic `toml:"traffic"`
+	Faults   []Fault   `toml:"fault"`
+	Drawn    int       `toml:"drawn_faults"` // further faults, drawn from the seed
+	Baseline string    `toml:"baseline"`     // random or least, in place of the module's choice; empty for the node's own
+}
+
+// Fleet is what stands at the start.
+type Fleet struct {
+	Nodes    int     `toml:"nodes"`
+	Hosts    int     `toml:"hosts"`
+	Zones    int     `toml:"zones"`
+	Capacity float64 `toml:"capacity"`  // of a host, in cores
+	Uneven   float64 `toml:"uneven"`    // share by which capacities differ
+	ColdFrom float64 `toml:"cold_from"` // share of its capacity a host starts with
+	ColdFor  float64 `toml:"cold_for"`
+	Roster   float64 `toml:"roster_delay"` // until a change is told
+	Calls    float64 `toml:"roster_calls"` // calls a second that discovery works through
+	Store    float64 `toml:"store"`        // set-ups a second that the session store bears; 0 for any number
+	CPU      float64 `toml:"node_cpu"`     // seconds that a node takes for one input
+	Sockets  int     `toml:"sockets"`
+}
+
+// Network is what lies between the machines.
+type Network struct {
+	Near      float64 `toml:"near"`
+	Far       float64 `toml:"far"`
+	Jitter    float64 `toml:"jitter"`
+	Bandwidth float64 `toml:"bandwidth"`
+	Pieces    float64 `toml:"pieces"`
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	Grace        float64 `toml:"drain_grace"`
+	Answer       float64 `toml:"answer_slack"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	FallFor      float64 `toml:"fall_for"`
+	MaxConnects  int     `toml:"max_connects"`
+	RetryAfter   float64 `toml:"retry_after"`
+	AskWithin    float64 `toml:"ask_within"`
+}
+
+// Traffic is one service type.
+type Traffic struct {
+	Name    string  `toml:"name"`
+	Effect  string  `toml:"effect"` // repeatable, referenced or once-only
+	Span    float64 `toml:"memory_span"`
+	Rate    float64 `toml:"rate"`    // new clients a second
+	Lives   float64 `toml:"lives"`   // mean life of a connection
+	Load    float64 `toml:"load"`    // of a connection
+	Target  float64 `toml:"target"`  // setup target
+	Timeout float64 `toml:"timeout"` // connect timeout
+	Message float64 `toml:"message"` // aim for a message
+	Value   float64 `toml:"value"`
+	Group   int     `toml:"group"`   // clients of one group, 0 for none
+	Retries int     `toml:"retries"` // of a client by itself
+	Backoff float64 `toml:"backoff"`
+	Heeds   float64 `toml:"heeds"` // share of the clients that come again when told
+}
+
+// Fault is one thing that befalls the fleet.
+type Fault struct {
+	At    float64 `toml:"at"`
+	Kind  string  `toml:"kind"`
+	Host  int     `toml:"host"`
+	Node  int     `toml:"node"`
+	Zone  int     `toml:"zone"`
+	Count int     `toml:"count"`
+	For   float64 `toml:"for"`
+	By    float64 `toml:"by"` // factor or share, as the kind says
+}
+
+// kinds of faults, and what each one needs.
+var kinds = map[string]struct{ host, node, zone, count, lasts, by bool }{
+	"grow":         {count: true},
+	"shrink":       {count: true, lasts: true},
+	"release":      {count: true, lasts: true}, // hosts are replaced in turn
+	"zone_loss":    {zone: true, lasts: true},  // and comes back cold
+	"roster_late":  {lasts: true, by: true},
+	"roster_down":  {lasts: true},
+	"drop":         {by: true, lasts: true}, // that share of the clients, and back within that time
+	"slow":         {host: true, lasts: true, by: true},
+	"errs":         {host: true, lasts: true, by: true},
+	"crash":        {host: true, lasts: true},
+	"vanish":       {host: true, lasts: true},
+	"drain":        {host: true, lasts: true},
+	"stall":        {host: true, lasts: true}, // takes connections and says nothing: a fault in mid-handshake
+	"store_slow":   {lasts: true, by: true},
+	"node_kill":    {node: true, lasts: true},
+	"node_restart": {node: true, lasts: true}, // asked to leave first
+}
+
+// Kinds gives the names of all faults.
+func Kinds() []string {
+	names := make([]string, 0, len(kinds))
+	for name := range kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// defaults stand where a script says nothing.
+func defaults() Scenario {
+	return Scenario{Lasts: 60, Settle: 12,
+		Fleet: Fleet{Nodes: 3, Hosts: 12, Zones: 3, Capacity: 2, Uneven: 0.3, ColdFrom: 0.4, ColdFor: 8, Roster: 1, Calls: 50,
+			CPU: 20e-6, Sockets: 1024},
+		Network: Network{Near: 2e-4, Far: 1e-3, Jitter: 0.3, Pieces: 0.1},
+		Rules: Rules{Grace: 0.4, Answer: 0.05, FallMultiple: 4, FallFor: 1, MaxConnects: 4, RetryAfter: 2,
+			AskWithin: 10}}
+}
+
+// ReadFile reads a script. What is wrong with it is one message with file and line.
+func ReadFile(path string) (Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Scenario{}, err
+	}
+	return Read(path, text)
+}
+
+// Read reads a script from text; path is for messages.
+func Read(path string, text []byte) (Scenario, error) {
+	s := defaults()
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			row, _ := strict.Errors[0].Position()
+			return s, fmt.Errorf("%s:%d: unknown key %s", path, row, strings.Join(strict.Errors[0].Key(), "."))
+		}
+		var decode *toml.DecodeError
+		if errors.As(err, &decode) {
+			row, _ := decode.Position()
+			return s, fmt.Errorf("%s:%d: %s", path, row, strings.TrimPrefix(decode.Error(), "toml: "))
+		}
+		return s, fmt.Errorf("%s:1: %w", path, err)
+	}
+	if where, err := s.check(); err != nil {
+		return s, fmt.Errorf("%s:%d: %w", path, where.line(text), err)
+	}
+	return s, nil
+}
+
+// place names a key in a script: the n-th table of a name, and a key in it.
+type place struct {
+	table string
+	nth   int
+	key   string
+}
+
+// line finds a place in the text; the table's own line where the key is not written, 1 where neither is.
+func (p place) line(text []byte) int {
+	best, nth, in := 1, -1, p.table == ""
+	for i, row := range strings.Split(string(text), "\n") {
+		row = strings.TrimSpace(row)
+		if strings.HasPrefix(row, "[") {
+			name := strings.Trim(strings.TrimSpace(strings.SplitN(row, "#", 2)[0]), "[] ")
+			if in = name == p.table; in {
+				if nth++; nth == p.nth {
+					best = i + 1
+				}
+			}
+			continue
+		}
+		key, _, found := strings.Cut(row, "=")
+		if found && in && strings.TrimSpace(key) == p.key && (p.table == "" || nth == p.nth) {
+			return i + 1
+		}
+	}
+	return best
+}
+
+// check gives the first thing that no fleet can be played with.
+func (s Scenario) check() (place, error) {
+	type figure struct {
+		in    place
+		x     float64
+		least float64
+		most  float64
+	}
+	f, n, r := s.Fleet, s.Network, s.Rules
+	top := func(key string) place { return place{key: key} }
+	fleet := func(key string) place { return place{table: "fleet", key: key} }
+	net := func(key string) place { return place{table: "network", key: key} }
+	rule := func(key string) place { return place{table: "rules", key: key} }
+	figures := []figure{{top("lasts"), s.Lasts, 1, 1e5}, {top("settle"), s.Settle, 0, 1e3},
+		{top("drawn_faults"), float64(s.Drawn), 0, 1e3},
+		{fleet("nodes"), float64(f.Nodes), 1, 2000}, {fleet("hosts"), float64(f.Hosts), 0, 5000},
+		{fleet("zones"), float64(f.Zones), 1, 100}, {fleet("capacity"), f.Capacity, 1e-3, 1e4},
+		{fleet("uneven"), f.Uneven, 0, 0.9}, {fleet("cold_from"), f.ColdFrom, 0.01, 1}, {fleet("cold_for"), f.ColdFor, 0, 1e4},
+		{fleet("roster_delay"), f.Roster, 0, 1e3}, {fleet("roster_calls"), f.Calls, 0.1, 1e6}, {fleet("store"), f.Store, 0, 1e6},
+		{fleet("node_cpu"), f.CPU, 0, 1}, {fleet("sockets"), float64(f.Sockets), 32, 1e6},
+		{net("near"), n.Near, 0, 10}, {net("far"), n.Far, 0, 10}, {net("jitter"), n.Jitter, 0, 10},
+		{net("bandwidth"), n.Bandwidth, 0, 1e12}, {net("pieces"), n.Pieces, 0, 1},
+		{rule("drain_grace"), r.Grace, 0, 100}, {rule("answer_slack"), r.Answer, 0, 10},
+		{rule("fall_multiple"), r.FallMultiple, 1, 1e3}, {rule("fall_for"), r.FallFor, 0.01, 100},
+		{rule("max_connects"), float64(r.MaxConnects), 1, 100}, {rule("retry_after"), r.RetryAfter, 0, 100},
+		{rule("ask_within"), r.AskWithin, 0, 1e4}}
+	for i, t := range s.Traffic {
+		of := func(key string) place { return place{"traffic", i, key} }
+		if t.Name == "" || strings.ContainsAny(t.Name, " ,=\r\n") {
+			return of("name"), fmt.Errorf("a service type needs a name of one word, not %q", t.Name)
+		}
+		if _, ok := effects[t.Effect]; !ok {
+			return of("effect"), fmt.Errorf("effect %q is none of repeatable, referenced, once-only", t.Effect)
+		}
+		figures = append(figures, figure{of("rate"), t.Rate, 0, 1e5}, figure{of("lives"), t.Lives, 0.01, 1e5},
+			figure{of("load"), t.Load, 0, 1e3}, figure{of("target"), t.Target, 1e-3, 1e3},
+			figure{of("timeout"), t.Timeout, 1e-2, 1e3}, figure{of("message"), t.Message, 0, 1e3},
+			figure{of("value"), t.Value, 0, 1e6}, figure{of("group"), float64(t.Group), 0, 1e5},
+			figure{of("retries"), float64(t.Retries), 0, 100}, figure{of("backoff"), t.Backoff, 0, 1e3},
+			figure{of("heeds"), t.Heeds, 0, 1}, figure{of("memory_span"), t.Span, 0, 1e4})
+	}
+	for i, x := range s.Faults {
+		of := func(key string) place { return place{"fault", i, key} }
+		needs, ok := kinds[x.Kind]
+		if !ok {
+			return of("kind"), fmt.Errorf("no fault is called %q; there are %s", x.Kind, strings.Join(Kinds(), ", "))
+		}
+		figures = append(figures, figure{of("at"), x.At, 0, s.Lasts}, figure{of("for"), x.For, 0, 1e4},
+			figure{of("by"), x.By, 0, 1e4})
+		switch {
+		case needs.host && (x.Host < 0 || x.Host >= f.Hosts):
+			return of("host"), fmt.Errorf("there is no host %d: the fleet begins with %d, from 0 on", x.Host, f.Hosts)
+		case needs.node && (x.Node < 0 || x.Node >= f.Nodes):
+			return of("node"), fmt.Errorf("there is no node %d: the fleet has %d, from 0 on", x.Node, f.Nodes)
+		case needs.zone && (x.Zone < 0 || x.Zone >= f.Zones):
+			return of("zone"), fmt.Errorf("there is no zone %d: the fleet has %d, from 0 on", x.Zone, f.Zones)
+		case needs.count && (x.Count < 1 || x.Count > 5000):
+			return of("count"), fmt.Errorf("%s needs a count from 1 to 5000, not %d", x.Kind, x.Count)
+		}
+	}
+	for _, x := range figures {
+		if !(x.x >= x.least && x.x <= x.most) {
+			return x.in, fmt.Errorf("%s is %v, and goes from %v to %v", x.in.key, x.x, x.least, x.most)
+		}
+	}
+	if s.Baseline != "" && s.Baseline != "random" && s.Baseline != "least" {
+		return top("baseline"), fmt.Errorf("baseline %q is neither random nor least", s.Baseline)
+	}
+	return place{}, nil
+}
--- /dev/null
+++ b/internal/emulator/station.go
@@ -0,0 +1,245 @@
+package emulator
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/line"
+	"gorseledge/internal/node"
+)
+
+// Core is what a station runs: the real node's, or a deliberately wrong one that shows that a checker fires.
+type Core interface {
+	Apply(now float64, in node.Input) []node.Effect
+}
+
+// station is the machine of one node: it carries out what the core asks for, each effect in its time.
+type station struct {
+	*machine
+	w       *World
+	chance  *rand.Rand
+	index   int
+	core    Core
+	running bool
+	seenUp  bool // by the front
+	conns   map[node.Conn]*port
+	last    node.Conn
+	freeAt  float64 // when its processor is done with what came before
+	watch   int     // number of the watch that stands
+	timer   int
+	index0  int64
+	told    map[string]float64 // when it learned that a host drains or is gone
+	cpu     float64
+}
+
+// port is a core's connection.
+type port struct {
+	*station
+	id      node.Conn
+	s       *socket
+	into    []byte
+	host    *host
+	flow    *flow
+	counted bool
+}
+
+var errUnreached = errors.New("unreached")
+
+// give hands an input to the core once its processor is free, and carries out what it asks for.
+func (n *station) give(in node.Input) { n.giveLate(func() node.Input { return in }) }
+
+// giveLate makes the input when the core takes it: what a core closed meanwhile is answered otherwise.
+func (n *station) giveLate(make func() node.Input) {
+	core := n.core
+	n.freeAt = max(n.freeAt, n.w.now) + n.w.script.Fleet.CPU
+	n.cpu += n.w.script.Fleet.CPU
+	n.w.at(n.freeAt, func() {
+		if !n.running || n.core != core {
+			return
+		}
+		in := make()
+		if l, ok := in.(node.Listed); ok {
+			n.learned(l.List)
+		}
+		for _, e := range n.core.Apply(n.w.base+n.w.now, in) {
+			n.perform(e)
+		}
+	})
+}
+
+// learned notes since when the node knows that a host takes nothing new.
+func (n *station) learned(l roster.List) {
+	for _, h := range l.Hosts {
+		if h.Status == "SERVING" {
+			delete(n.told, h.Name)
+		} else if _, known := n.told[h.Name]; !known {
+			n.told[h.Name] = n.w.now
+		}
+	}
+}
+
+func (n *station) perform(e node.Effect) {
+	switch e := e.(type) {
+	case node.Read:
+		p := n.conns[e.Conn]
+		p.into = e.Into
+		p.hear()
+	case node.Write:
+		p := n.conns[e.Conn]
+		p.written(e.Data)
+		size := len(e.Data)
+		failed := p.s.end == reset
+		if !failed {
+			p.s.send(e.Data)
+		}
+		n.give(node.Wrote{Conn: e.Conn, N: size, Failed: failed})
+	case node.Dial:
+		n.dial(e)
+	case node.Shut:
+		n.conns[e.Conn].s.finish()
+	case node.Close:
+		p := n.conns[e.Conn]
+		p.released()
+		if p.s != nil {
+			p.s.close(e.Reset)
+		}
+		delete(n.conns, e.Conn)
+		if p.s != nil {
+			n.give(node.Closed{Conn: e.Conn})
+		} else {
+			p.into = nil
+		}
+	case node.Watch:
+		n.watch++
+		n.w.discovery.call(n, n.watch, e.Index)
+	case node.Timer:
+		n.timer++
+		turn, core := n.timer, n.core
+		n.w.at(e.At-n.w.base, func() {
+			if turn == n.timer && core == n.core {
+				n.give(node.Tick{})
+			}
+		})
+	case node.Note:
+		n.w.trace("%s %s", n.name, e.Line)
+	case node.Done:
+		n.w.trace("%s ended %s %s", n.name, e.Record.Reason, e.Record.Host)
+	case node.Exit:
+		n.stop()
+	}
+}
+
+// hear answers a read that is under way with what has arrived.
+func (p *port) hear() {
+	if p.into == nil || p.s == nil || len(p.s.in) == 0 && p.s.end == going {
+		return
+	}
+	got := node.Got{Conn: p.id, N: p.s.read(p.into)}
+	if len(p.s.in) == 0 {
+		got.End = [...]node.End{node.Open, node.Ended, node.Broken}[p.s.end]
+	}
+	p.into = nil
+	p.station.give(got)
+}
+
+// accept takes a client's connection.
+func (n *station) accept(s *socket, f *flow) {
+	if !n.running || n.vanished {
+		if !n.vanished {
+			s.close(true)
+		}
+		return
+	}
+	n.last += 2
+	p := &port{station: n, id: n.last, s: s}
+	n.conns[p.id] = p
+	f.taken = n
+	s.wake = p.hear
+	n.give(node.Accepted{Conn: p.id})
+}
+
+// dial opens a connection to a host: a round trip, or nothing until the time is up.
+func (n *station) dial(e node.Dial) {
+	p := &port{station: n, id: e.Conn, host: n.w.hostAt(e.Address)}
+	n.conns[e.Conn] = p
+	core := n.core
+	h := p.host
+	fail := func(after float64) {
+		n.w.after(after, func() {
+			if !n.running || core != n.core {
+				return
+			}
+			n.giveLate(func() node.Input {
+				if n.conns[e.Conn] == p {
+					return node.Dialed{Conn: e.Conn, Err: errUnreached}
+				}
+				return node.Closed{Conn: e.Conn} // given up meanwhile
+			})
+		})
+	}
+	switch {
+	case h == nil || h.vanished:
+		fail(e.Within)
+		return
+	case !h.running:
+		fail(2 * n.w.net.delay(n.machine, h.machine))
+		return
+	}
+	took := 2 * n.w.net.delay(n.machine, h.machine)
+	if took > e.Within {
+		fail(e.Within)
+		return
+	}
+	n.w.after(took, func() {
+		switch {
+		case !n.running || core != n.core:
+		case !h.running || h.vanished:
+			fail(0)
+		default:
+			n.giveLate(func() node.Input {
+				if n.conns[e.Conn] != p {
+					return node.Closed{Conn: e.Conn}
+				}
+				mine, theirs := n.w.net.join(n.machine, h.machine)
+				p.s = mine
+				mine.wake = p.hear
+				h.accept(theirs)
+				return node.Dialed{Conn: e.Conn}
+			})
+		}
+	})
+}
+
+// written looks at what a core writes to a host: a first line is a connect that may run from here on.
+func (p *port) written(data []byte) {
+	if p.host == nil || p.counted || !bytes.HasPrefix(data, []byte("OPEN ")) {
+		return
+	}
+	p.counted = true
+	if o, err := line.ParseOpening(data); err == nil {
+		if f := p.w.flowOf(o.ID); f != nil {
+			p.flow = f
+			f.out++
+			p.w.rules.sent(f, p.station, p.host)
+		}
+	}
+}
+
+func (p *port) released() {
+	if p.flow != nil {
+		p.flow.out--
+		p.flow = nil
+	}
+}
+
+// stop ends the process.
+func (n *station) stop() {
+	n.running = false
+	for _, p := range n.conns {
+		p.released()
+	}
+	n.conns = map[node.Conn]*port{}
+	n.machine.die(bySerial)
+}
--- /dev/null
+++ b/internal/emulator/wire.go
@@ -0,0 +1,153 @@
+package emulator
+
+import "math/rand/v2"
+
+// ending is how a side of a connection stopped sending.
+type ending uint8
+
+const (
+	going ending = iota
+	ended
+	reset
+)
+
+// machine is where sockets live. One that has vanished says nothing; one whose process died resets.
+type machine struct {
+	name     string
+	zone     int
+	vanished bool
+	sockets  map[*socket]bool
+}
+
+func newMachine(name string, zone int) *machine {
+	return &machine{name: name, zone: zone, sockets: map[*socket]bool{}}
+}
+
+// socket is one end of a modelled connection: bytes arrive in order, in pieces, after a delay.
+type socket struct {
+	net      *network
+	serial   int
+	on       *machine
+	peer     *socket
+	in       []byte // arrived, not read yet
+	end      ending // of the far side, after what is in in
+	closed   bool   // by this side
+	finished bool   // this side has ended its sending
+	lastAt   float64
+	queue    []func(to *socket) // on its way, in order: also where events of one instant are permuted
+	wake     func()             // something arrived
+}
+
+// network joins machines. Its figures are seconds and bytes a second.
+type network struct {
+	clock
+	chance    *rand.Rand
+	near, far float64 // one way within a zone, and between zones
+	jitter    float64 // share of the delay
+	bandwidth float64 // of one connection; 0 for no limit
+	joined    int
+	pieces    float64 // chance that what is written arrives in two pieces
+}
+
+func (n *network) delay(a, b *machine) float64 {
+	d := n.near
+	if a.zone != b.zone {
+		d = n.far
+	}
+	return d * (1 + n.jitter*n.chance.Float64())
+}
+
+// join gives the two ends of a new connection.
+func (n *network) join(a, b *machine) (*socket, *socket) {
+	n.joined += 2
+	x, y := &socket{net: n, on: a, serial: n.joined}, &socket{net: n, on: b, serial: n.joined + 1}
+	x.peer, y.peer = y, x
+	a.sockets[x], b.sockets[y] = true, true
+	return x, y
+}
+
+// arrive has something happen at the far end in its turn: never before what was sent earlier.
+func (s *socket) arrive(size int, run func(to *socket)) {
+	n := s.net
+	when := n.now + n.delay(s.on, s.peer.on)
+	if n.bandwidth > 0 {
+		when = max(when, s.lastAt) + float64(size)/n.bandwidth
+	}
+	s.lastAt = max(when, s.lastAt)
+	to := s.peer
+	s.queue = append(s.queue, run)
+	n.at(s.lastAt, func() {
+		run := s.queue[0]
+		s.queue = s.queue[1:]
+		if to.closed || s.on.vanished || to.on.vanished {
+			return // what a vanished machine sent, or was sent, is lost without a word
+		}
+		run(to)
+		if to.wake != nil {
+			to.wake()
+		}
+	})
+}
+
+// send writes bytes; they are copied.
+func (s *socket) send(data []byte) {
+	if s.closed || s.finished || len(data) == 0 {
+		return
+	}
+	cut := len(data)
+	if len(data) > 1 && s.net.chance.Float64() < s.net.pieces {
+		cut = 1 + s.net.chance.IntN(len(data)-1)
+	}
+	for _, part := range [2][]byte{data[:cut], data[cut:]} {
+		if len(part) > 0 {
+			part = append([]byte(nil), part...)
+			s.arrive(len(part), func(to *socket) { to.in = append(to.in, part...) })
+		}
+	}
+}
+
+// finish ends this side's sending in good order.
+func (s *socket) finish() {
+	if s.closed || s.finished {
+		return
+	}
+	s.finished = true
+	s.arrive(0, func(to *socket) {
+		if to.end == going {
+			to.end = ended
+		}
+	})
+}
+
+// close ends both directions; broken off, what was under way is lost.
+func (s *socket) close(broken bool) {
+	if s.closed {
+		return
+	}
+	if broken || len(s.in) > 0 {
+		s.arrive(0, func(to *socket) { to.end, to.in = reset, nil })
+	} else {
+		s.finish()
+	}
+	s.closed = true
+	delete(s.on.sockets, s)
+}
+
+// read takes up to len(into) bytes that have arrived.
+func (s *socket) read(into []byte) int {
+	n := copy(into, s.in)
+	s.in = s.in[n:]
+	return n
+}
+
+// die breaks all of a machine's connections, as the end of a process does.
+func (m *machine) die(order func([]*socket)) {
+	all := make([]*socket, 0, len(m.sockets))
+	for s := range m.sockets {
+		all = append(all, s)
+	}
+	order(all) // a map has no order, a trace must have one
+	for _, s := range all {
+		s.close(true)
+	}
+}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,293 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/node"
+	"gorseledge/internal/rundown"
+	"gorseledge/placement"
+)
+
+var effects = map[string]string{"repeatable": "repeatable", "referenced": "by_key", "once-only": "once"}
+
+const keptLines = 40 // of the trace, for the report of a broken rule
+
+// Options are what a play may differ in beside its script and seed.
+type Options struct {
+	Trace   io.Writer                  // every line of the trace; nil for none
+	Permute bool                       // events of one instant in an order drawn from the seed
+	Wrong   func(c Core) Core          // wraps each core, to show that a checker fires
+	Tune    func(r *placement.Rundown) // what an experiment changes in the module's rundown
+}
+
+// Result is what came of a play. Times are seconds.
+type Result struct {
+	Scenario                                             string
+	Seed                                                 uint64
+	Asked, Established, InTarget, Rejected, Aborted      int
+	Unanswered, Served, Moved, Broken, ListCalls, Probes int
+	Service                                              float64 // value of well-served seconds over that of all asked for
+	StorePeak                                            float64
+	StoreRefused                                         int
+	CPU                                                  float64
+	Steps                                                int
+	Trace                                                uint64 // hash of the whole trace
+	Breaks                                               []Break
+	setups                                               *hdrhistogram.Histogram
+}
+
+func (r *Result) setup(seconds float64) { r.setups.RecordValue(max(int64(seconds*1e6), 1)) }
+
+// SetupAt gives the set-up time that this share of the flows did not pass.
+func (r *Result) SetupAt(share float64) float64 {
+	return float64(r.setups.ValueAtQuantile(100*share)) / 1e6
+}
+
+// World is one play of a script.
+type World struct {
+	*network
+	net       *network
+	script    Scenario
+	options   Options
+	seed      uint64
+	base      float64 // the time of day at which it begins
+	hosts     []*host
+	byName    map[string]*host
+	nodes     []*station
+	clients   []*client
+	byID      map[string]*flow
+	flows     int
+	discovery *discovery
+	store     *store
+	rules     *rules
+	result    *Result
+	chance    *rand.Rand
+	settings  []byte
+	last      []string
+	hash      uint64
+	storeWas  float64
+}
+
+func zoneName(z int) string { return fmt.Sprintf("z%d", z) }
+
+// Play plays a script once.
+func Play(s Scenario, seed uint64, o Options) *Result {
+	w := newWorld(s, seed, o)
+	end := s.Lasts + s.Settle
+	for w.step(end) {
+	}
+	return w.finish()
+}
+
+func newWorld(s Scenario, seed uint64, o Options) *World {
+	w := &World{script: s, options: o, seed: seed, base: 1e9, byName: map[string]*host{}, byID: map[string]*flow{},
+		chance: fork(seed, "world", 0), hash: 14695981039346656037}
+	w.net = &network{chance: fork(seed, "network", 0), near: s.Network.Near, far: s.Network.Far,
+		jitter: s.Network.Jitter, bandwidth: s.Network.Bandwidth, pieces: s.Network.Pieces}
+	w.network = w.net
+	if o.Permute {
+		w.permute = fork(seed, "order", 0)
+	}
+	w.result = &Result{Scenario: s.Name, Seed: seed, setups: hdrhistogram.New(1, 1e9, 3)}
+	w.rules, w.store = &rules{w: w}, &store{w: w, bears: s.Fleet.Store}
+	w.discovery = &discovery{w: w}
+	for range s.Fleet.Hosts {
+		w.addHost(0)
+	}
+	w.settings = w.tellSettings()
+	for i := range s.Fleet.Nodes {
+		n := &station{machine: newMachine(fmt.Sprintf("n%d", i), i%s.Fleet.Zones), w: w, index: i}
+		w.nodes = append(w.nodes, n)
+		w.boot(n)
+	}
+	for k, t := range s.Traffic {
+		w.arrivals(k, t, fork(seed, t.Name, k))
+	}
+	for _, f := range append(slices.Clone(s.Faults), w.drawn()...) {
+		w.at(f.At, func() { w.befall(f) })
+	}
+	w.beat()
+	return w
+}
+
+func (w *World) addHost(started float64) *host {
+	f := w.script.Fleet
+	i := len(w.hosts)
+	h := &host{machine: newMachine(fmt.Sprintf("s-%08x", fork(w.seed, "host", i).Uint32()), i%f.Zones), w: w, index: i,
+		chance: fork(w.seed, "box", i)}
+	h.capacity = f.Capacity * (1 + f.Uneven*(2*h.chance.Float64()-1))
+	h.start()
+	h.since = started
+	w.hosts, w.byName[h.name] = append(w.hosts, h), h
+	if started == 0 { // there from the first: listed at once
+		w.discovery.index++
+		w.discovery.changes = append(w.discovery.changes, change{w.discovery.index, w.entry(h, "SERVING")})
+	} else {
+		w.discovery.tell(h, "SERVING")
+	}
+	return h
+}
+
+// boot starts a node's process anew, with the list as it stands at discovery.
+func (w *World) boot(n *station) {
+	r, d, err := rundown.Read(w.settings, fork(w.seed, n.name, int(w.now*1e3)).Uint64())
+	if err != nil {
+		panic(err) // the settings are made here
+	}
+	if w.options.Tune != nil {
+		w.options.Tune(&r)
+	}
+	n.running, n.vanished, n.conns, n.told = true, false, map[node.Conn]*port{}, map[string]float64{}
+	n.last, n.watch, n.timer, n.freeAt = n.last|1, n.watch+1, n.timer+1, w.now
+	known := w.discovery.whole()
+	n.core = node.New(w.base+w.now, node.Start{Rundown: r, Door: d, Known: known, Sockets: w.script.Fleet.Sockets})
+	if w.options.Wrong != nil {
+		n.core = w.options.Wrong(n.core)
+	}
+	n.learned(known)
+	n.give(node.Tick{})
+}
+
+var leave node.Input = node.Leave{}
+
+func listed(l roster.List) node.Input        { return node.Listed{List: l} }
+func unlisted(why string) node.Input         { return node.Unlisted{Why: why} }
+func (w *World) flowOf(id string) *flow      { return w.byID[id] }
+func (w *World) hostAt(address string) *host { return w.byName[address] }
+
+// tellSettings writes what a node is told at its start.
+func (w *World) tellSettings() []byte {
+	type object = map[string]any
+	s, r := w.script, w.script.Rules
+	var types []object
+	var aims []float64
+	for _, t := range s.Traffic {
+		types = append(types, object{"name": t.Name, "effect": effects[t.Effect], "group": "all", "give_up_us": 1e6 * t.Timeout,
+			"setup_target_us": 1e6 * t.Target, "memory_span_us": 1e6 * t.Span})
+		aims = append(aims, 1e6*t.Message)
+	}
+	var zones []string
+	for z := range s.Fleet.Zones {
+		zones = append(zones, zoneName(z))
+	}
+	text, err := json.Marshal(object{"siblings": s.Fleet.Nodes, "granularity_us": 1000, "membership_mode": "subscribe",
+		"zones": zones, "service_types": types, "parties": []object{{"name": "all"}},
+		"family_info": object{"mode": "proxy", "message_aim_us": aims, "tells_load": true, "tells_delay": true},
+		"invariants": object{"ask_within_us": 1e6 * r.AskWithin, "cold_from": s.Fleet.ColdFrom,
+			"cold_us": 1e6 * s.Fleet.ColdFor, "fall_multiple": r.FallMultiple, "fall_us": 1e6 * r.FallFor},
+		"limits": object{"dial_timeout_us": 250000, "max_connects": r.MaxConnects, "max_retry_after_us": 1e6 * r.RetryAfter,
+			"probes": true, "retry_after": r.RetryAfter > 0}})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// arrivals has new clients of a service type come, at random times.
+func (w *World) arrivals(kind int, t Traffic, chance *rand.Rand) {
+	if t.Rate <= 0 {
+		return
+	}
+	w.after(chance.ExpFloat64()/t.Rate, func() {
+		if w.now > w.script.Lasts {
+			return
+		}
+		i := len(w.clients)
+		c := &client{machine: newMachine(fmt.Sprintf("c%d", i), chance.IntN(w.script.Fleet.Zones)), w: w, t: t, kind: kind,
+			chance: fork(w.seed, "client", i), cameAt: w.now}
+		c.key, c.stay = c.chance.Uint64()|1, t.Lives*c.chance.ExpFloat64()+0.1
+		c.load = t.Load * (0.5 + c.chance.Float64())
+		if t.Group > 0 {
+			c.group = uint64(1 + i/t.Group + kind<<20)
+		}
+		w.clients = append(w.clients, c)
+		c.come()
+		w.arrivals(kind, t, chance)
+	})
+}
+
+// front names a node for a client of a zone: one that runs, of its zone if there is any.
+func (w *World) front(zone int) *station {
+	var near, all []*station
+	for _, n := range w.nodes {
+		if n.running && !n.vanished {
+			all = append(all, n)
+			if n.zone == zone {
+				near = append(near, n)
+			}
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all[w.chance.IntN(len(all))]
+}
+
+// watch looks at a host that has just taken something on.
+func (w *World) watch(h *host) {}
+
+func (w *World) beat() {
+	for _, h := range w.hosts {
+		h.beat()
+	}
+	if w.now < w.script.Lasts+w.script.Settle {
+		w.after(0.1, w.beat)
+	}
+}
+
+func (w *World) trace(format string, args ...any) {
+	text := fmt.Sprintf("%.6f ", w.now) + fmt.Sprintf(format, args...)
+	for _, c := range []byte(text) {
+		w.hash = (w.hash ^ uint64(c)) * 1099511628211
+	}
+	if w.last = append(w.last, text); len(w.last) > 2*keptLines {
+		w.last = append(w.last[:0], w.last[keptLines:]...)
+	}
+	if w.options.Trace != nil {
+		fmt.Fprintln(w.options.Trace, text)
+	}
+}
+
+func (w *World) lately() []string {
+	return slices.Clone(w.last[max(len(w.last)-keptLines, 0):])
+}
+
+func (w *World) finish() *Result {
+	r := w.result
+	asked, served := 0.0, 0.0
+	for _, c := range w.clients {
+		if c.up {
+			c.account()
+		}
+		asked += c.t.Value * c.asked
+		served += c.t.Value * c.served
+	}
+	r.Service = 1
+	if asked > 0 {
+		r.Service = served / asked
+	}
+	for _, h := range w.hosts {
+		r.Probes += h.probes
+	}
+	for _, n := range w.nodes {
+		r.CPU += n.cpu
+	}
+	r.StorePeak, r.StoreRefused, r.Steps, r.Breaks, r.Trace = w.store.peak, w.store.refused, w.steps, w.rules.breaks, w.hash
+	return r
+}
+
+// bySerial orders sockets by the machine at their far end and their age, as a map has no order.
+func bySerial(all []*socket) {
+	slices.SortFunc(all, func(a, b *socket) int { return int(math.Copysign(1, float64(a.serial)-float64(b.serial))) })
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -200,3 +200,13 @@
 	}
 	n.touched = n.touched[:0]
 }
+
+// Held tells what the node still holds; nothing, once all its clients are gone.
+func (n *Node) Held() (flows, conns, descriptors int) {
+	for _, f := range n.flows {
+		if f != nil {
+			flows++
+		}
+	}
+	return flows, len(n.conns), n.used()
+}
