--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"gorseledge/internal/node"
+	"gorseledge/placement"
 )
 
 const calm = `
@@ -40,6 +41,30 @@
 value = 3
 `
 
+// hot has a crowd whose hosts all drain at once, but for one that has just started.
+const hot = `
+[[traffic]]
+name = "crowd"
+effect = "repeatable"
+rate = 60
+lives = 20
+load = 0.1
+target = 0.3
+timeout = 2
+value = 1
+retries = 9
+backoff = 0.1
+[[fault]]
+at = 10
+kind = "grow"
+count = 1
+[[fault]]
+at = 11
+kind = "shrink"
+count = 6
+for = 0.1
+`
+
 func script(t *testing.T, text string) Scenario {
 	t.Helper()
 	s, err := Read("test.toml", []byte(text))
@@ -118,20 +143,72 @@
 	return s.Core.Apply(now, in)
 }
 
+// hoarder holds something to the end.
+type hoarder struct{ Core }
+
+func (hoarder) Held() (flows, conns, descriptors int) { return 1, 0, 0 }
+
+// double sends each first line to a second connection as well.
+type double struct {
+	Core
+	to    map[node.Conn]string // address of what was dialed
+	lines map[node.Conn][]byte // of second connections
+}
+
+const second = node.Conn(1) << 40
+
+func (d *double) Apply(now float64, in node.Input) []node.Effect {
+	switch in := in.(type) {
+	case node.Dialed:
+		if line := d.lines[in.Conn]; line != nil {
+			if in.Err != nil {
+				return nil
+			}
+			return []node.Effect{node.Write{Conn: in.Conn, Data: line}}
+		}
+	case node.Wrote:
+		if d.lines[in.Conn] != nil {
+			return nil
+		}
+	}
+	out := d.Core.Apply(now, in)
+	for _, e := range out {
+		switch e := e.(type) {
+		case node.Dial:
+			d.to[e.Conn] = e.Address
+		case node.Write:
+			if address := d.to[e.Conn]; address != "" && bytes.HasPrefix(e.Data, []byte("OPEN ")) && e.Conn%16 == 0 {
+				d.lines[e.Conn+second] = bytes.Clone(e.Data)
+				out = append(out, node.Dial{Conn: e.Conn + second, Address: address, Within: 1})
+			}
+		}
+	}
+	return out
+}
+
 // Each checker fires on a node that is wrong in just that way, and on no sound one.
 func TestCheckersFire(t *testing.T) {
 	for _, c := range []struct {
 		name, rule string
 		faults     string
 		wrap       func(Core) Core
+		tune       func(r *placement.Rundown)
 	}{
-		{"nobody is heard", OneAnswer, "", func(c Core) Core { return &mute{c} }},
-		{"two answers", OneAnswer, "", func(c Core) Core { return &twice{c} }},
+		{"nobody is heard", OneAnswer, "", func(c Core) Core { return &mute{c} }, nil},
+		{"two answers", OneAnswer, "", func(c Core) Core { return &twice{c} }, nil},
 		{"the list of who drains is not heard", Drains, "[[fault]]\nat = 10\nkind = \"release\"\ncount = 4\nfor = 10\n",
-			func(c Core) Core { return &deaf{c} }},
+			func(c Core) Core { return &deaf{c} }, nil},
+		{"two connects out", OneOut, "", func(c Core) Core {
+			return &double{c, map[node.Conn]string{}, map[node.Conn][]byte{}}
+		}, nil},
+		{"a once-only flow sent twice", NoTwice, "", func(c Core) Core {
+			return &double{c, map[node.Conn]string{}, map[node.Conn][]byte{}}
+		}, nil},
+		{"cold hosts taken for warm", Cold, hot, nil, func(r *placement.Rundown) { r.ColdFor = 0 }},
+		{"something is held to the end", Leftovers, "", func(c Core) Core { return &hoarder{c} }, nil},
 	} {
 		s := script(t, calm+c.faults)
-		r := Play(s, 3, Options{Wrong: c.wrap})
+		r := Play(s, 3, Options{Wrong: c.wrap, Tune: c.tune})
 		fired := false
 		for _, b := range r.Breaks {
 			fired = fired || b.Rule == c.rule && b.Step > 0 && len(b.Last) > 0
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -36,6 +36,7 @@
 	slow     float64 // by what its work takes longer; 1 for sound
 	errs     float64 // share of set-ups that err
 	load     float64
+	pending  float64 // load of the set-ups that are under way
 	held     map[*session]bool
 	order    []*session // of held, in the order in which they came; some have ended
 	overAt   float64    // since when it is asked for more than a cold host bears; 0 for not
@@ -53,6 +54,7 @@
 	id    string
 	load  float64
 	up    bool
+	asked bool // its load counts among the pending
 	over  bool
 	since float64
 }
@@ -148,6 +150,8 @@
 		c.end()
 		return
 	}
+	c.load, c.asked = f.load, true
+	c.host.pending += c.load
 	took, stored := c.w.store.call()
 	c.later(c.delay()+took, func() {
 		if !stored || c.chance.Float64() < c.errs {
@@ -157,17 +161,25 @@
 			return
 		}
 		c.w.rules.ran(f, c.host)
-		c.up, c.load = true, f.load
+		c.settle()
+		c.up = true
 		c.host.load += c.load
 		c.held[c] = true
 		c.order = append(c.order, c)
 		c.say("UP " + c.id + "\r\n")
 		c.say("LOAD " + strconv.FormatFloat(1e6*c.load, 'f', 3, 64) + "\r\n")
 		c.later(f.lives, func() { c.say("BYE\r\n"); c.end() })
-		c.w.watch(c.host)
 	})
 }
 
+// settle ends the time in which a set-up is under way.
+func (c *session) settle() {
+	if c.asked {
+		c.asked = false
+		c.host.pending = max(c.host.pending-c.load, 0)
+	}
+}
+
 // end lets a session go from this side, in good order.
 func (c *session) end() { c.quit(false) }
 
@@ -176,6 +188,7 @@
 		return
 	}
 	c.over = true
+	c.settle()
 	if c.up {
 		c.host.load = max(c.host.load-c.load, 0)
 		delete(c.held, c)
@@ -197,7 +210,7 @@
 		}
 	}
 	h.order = live
-	if warm := h.warmth(); warm < 1 && h.load > rules.FallMultiple*h.capacity*warm {
+	if warm := h.warmth(); warm < 1 && h.load+h.pending > rules.FallMultiple*h.capacity*warm {
 		if h.overAt == 0 {
 			h.overAt = now
 		} else if now-h.overAt >= rules.FallFor {
@@ -248,14 +261,14 @@
 func (h *host) crash() {
 	h.running = false
 	h.machine.die(bySerial)
-	h.held, h.order, h.load = map[*session]bool{}, nil, 0
+	h.held, h.order, h.load, h.pending = map[*session]bool{}, nil, 0, 0
 }
 
 // start runs it anew, cold.
 func (h *host) start() {
 	h.running, h.vanished, h.stalled, h.state = true, false, false, serving
 	h.since, h.slow, h.errs, h.overAt, h.jamAt, h.told = h.w.now, 1, 0, 0, 0, 0
-	h.held, h.order, h.load = map[*session]bool{}, nil, 0
+	h.held, h.order, h.load, h.pending = map[*session]bool{}, nil, 0, 0
 }
 
 // store is the session store: each set-up is a call, and too many in a second fail.
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -90,14 +90,16 @@
 
 // ran is a set-up that was carried out.
 func (r *rules) ran(f *flow, h *host) {
-	f.runs++
+	if f.runs++; f.runs > 1 && f.effect == "once-only" {
+		r.broken(NoTwice, "flow %s ran at %s and at %s", f.id, f.ranOn.name, h.name)
+	}
 	if f.ranAt == 0 {
 		f.ranAt, f.ranOn = r.w.now, h
 	}
 }
 
 func (r *rules) fell(h *host) {
-	r.broken(Cold, "%s fell over %.1f s after its start, asked for %.1f of %.1f cores", h.name, r.w.now-h.since, h.load,
+	r.broken(Cold, "%s fell over %.1f s after its start, asked for %.1f of %.1f cores", h.name, r.w.now-h.since, h.load+h.pending,
 		h.capacity*h.warmth())
 }
 
--- a/internal/emulator/script.go
+++ b/internal/emulator/script.go
@@ -13,16 +13,15 @@
 
 // Scenario is a script: a fleet, its traffic and what befalls it. Times are seconds, loads shares of a core.
 type Scenario struct {
-	Name     string    `toml:"name"`
-	Lasts    float64   `toml:"lasts"`
-	Settle   float64   `toml:"settle"` // after the last arrival, for what is under way
-	Fleet    Fleet     `toml:"fleet"`
-	Network  Network   `toml:"network"`
-	Rules    Rules     `toml:"rules"`
-	Traffic  []Traffic `toml:"traffic"`
-	Faults   []Fault   `toml:"fault"`
-	Drawn    int       `toml:"drawn_faults"` // further faults, drawn from the seed
-	Baseline string    `toml:"baseline"`     // random or least, in place of the module's choice; empty for the node's own
+	Name    string    `toml:"name"`
+	Lasts   float64   `toml:"lasts"`
+	Settle  float64   `toml:"settle"` // after the last arrival, for what is under way
+	Fleet   Fleet     `toml:"fleet"`
+	Network Network   `toml:"network"`
+	Rules   Rules     `toml:"rules"`
+	Traffic []Traffic `toml:"traffic"`
+	Faults  []Fault   `toml:"fault"`
+	Drawn   int       `toml:"drawn_faults"` // further faults, drawn from the seed
 }
 
 // Fleet is what stands at the start.
@@ -257,8 +256,5 @@
 			return x.in, fmt.Errorf("%s is %v, and goes from %v to %v", x.in.key, x.x, x.least, x.most)
 		}
 	}
-	if s.Baseline != "" && s.Baseline != "random" && s.Baseline != "least" {
-		return top("baseline"), fmt.Errorf("baseline %q is neither random nor least", s.Baseline)
-	}
 	return place{}, nil
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -18,6 +18,8 @@
 
 var effects = map[string]string{"repeatable": "repeatable", "referenced": "by_key", "once-only": "once"}
 
+const lastWait = 8.0 // for connects and linger to end once all clients are gone
+
 const keptLines = 40 // of the trace, for the report of a broken rule
 
 // Options are what a play may differ in beside its script and seed.
@@ -84,6 +86,17 @@
 	end := s.Lasts + s.Settle
 	for w.step(end) {
 	}
+	for _, c := range w.clients { // all go, and nothing may be left of them
+		c.gone = true
+		if c.s != nil {
+			c.quit(false)
+		}
+	}
+	for w.step(end + lastWait) {
+	}
+	for _, n := range w.nodes {
+		w.rules.left(n)
+	}
 	return w.finish()
 }
 
@@ -234,14 +247,11 @@
 	return all[w.chance.IntN(len(all))]
 }
 
-// watch looks at a host that has just taken something on.
-func (w *World) watch(h *host) {}
-
 func (w *World) beat() {
 	for _, h := range w.hosts {
 		h.beat()
 	}
-	if w.now < w.script.Lasts+w.script.Settle {
+	if w.now < w.script.Lasts+w.script.Settle+lastWait {
 		w.after(0.1, w.beat)
 	}
 }
