--- a/cmd/gorseledge/main_test.go
+++ b/cmd/gorseledge/main_test.go
@@ -515,8 +515,8 @@
 	}
 }
 
-// Bad clients by hundreds against a node of 256 descriptors, which the system enforces: each is owed an error or
-// an end within three seconds, and the usual ones are served meanwhile.
+// Bad clients by hundreds against a node of 256 descriptors, which the system enforces: each is owed an error
+// or an end within three seconds, and the usual ones are served meanwhile.
 func TestBadClients(t *testing.T) {
 	s := start(t, "proxy", 3, 256)
 	for at := range s.hosts {
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -201,7 +201,8 @@
 	})
 }
 
-// account adds the time since the last to what was asked for and, unless a line waits too long, to what was served.
+// account adds the time since the last to what was asked for and, unless a line waits too long, to what was
+// served.
 func (c *client) account() {
 	span := c.w.now - c.upAt
 	c.upAt = c.w.now
--- a/internal/emulator/clock.go
+++ b/internal/emulator/clock.go
@@ -1,5 +1,5 @@
-// Package emulator plays whole fleets on a virtual clock: real node cores with stand-in clients, hosts, discovery, front and
-// session store, all from one seed. It imitates no platform; its figures are simulated.
+// Package emulator plays whole fleets on a virtual clock: real node cores with stand-in clients, hosts,
+// discovery, front and session store, all from one seed. It imitates no platform; its figures are simulated.
 package emulator
 
 import (
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 )
 
-// event is something that is due. Events of one instant run in the order in which they were asked for or, where the
-// order is permuted, in one drawn from the seed.
+// event is something that is due. Events of one instant run in the order in which they were asked for or,
+// where the order is permuted, in one drawn from the seed.
 type event struct {
 	at   float64
 	rank uint64
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -20,8 +20,8 @@
 	gone
 )
 
-// host is a stand-in stream box: it sets connections up, answers lines, slows down when it is asked for too much and drops
-// connections when that goes on.
+// host is a stand-in stream box: it sets connections up, answers lines, slows down when it is asked for too
+// much and drops connections when that goes on.
 type host struct {
 	*machine
 	w        *World
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -110,8 +110,8 @@
 	return b.Bytes()
 }
 
-// Compare sets two tables of the same seeds beside each other, figure by figure: a difference counts only where it is over
-// twice the error of the differences.
+// Compare sets two tables of the same seeds beside each other, figure by figure: a difference counts only
+// where it is over twice the error of the differences.
 func Compare(before, after []byte) (string, error) {
 	a, err := read(before)
 	if err != nil {
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -211,7 +211,8 @@
 // discard drops what comes on a connection that is being ended. Its old ring may still be under a write that
 // the far side never took, so what comes now goes elsewhere.
 func (n *Node) discard(c *conn, count int) {
-	// Guards against a client that was told to go and sends on at full speed, which keeps the loop from others.
+	// Guards against a client that was told to go and sends on at full speed, which keeps the loop from
+	// others.
 	if c.sunk += count; c.role == client && c.sunk > mostSunk {
 		c.endUnasked(ClientOdd)
 		n.close(c, true)
--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -5,8 +5,8 @@
 	"gorseledge/placement"
 )
 
-// A load below this share of a core is a delay: a message that takes seconds. Measured: of what is told to several
-// connections at once, nearly all lies below, of what is told to one a fiftieth.
+// A load below this share of a core is a delay: a message that takes seconds. Measured: of what is told to
+// several connections at once, nearly all lies below, of what is told to one a fiftieth.
 const leastLoad = 2e-3
 
 // connect sends a flow's first line to a host.
@@ -103,10 +103,10 @@
 	return true
 }
 
-// note takes what a host tells of a connection: its load or, where the settings say that delays are told too, how
-// long a message takes there, in thousandths in place of millionths of a second. Both come under one word. Guards
-// against the delay of a jammed host, told to all its connections at once, being taken for a load of next to
-// nothing: the host that served nobody looked empty.
+// note takes what a host tells of a connection: its load or, where the settings say that delays are told too,
+// how long a message takes there, in thousandths in place of millionths of a second. Both come under one
+// word. Guards against the delay of a jammed host, told to all its connections at once, being taken for a
+// load of next to nothing: the host that served nobody looked empty.
 func (n *Node) note(f *flow, x float64) {
 	if n.door.TellsDelay && (!n.door.TellsLoad || x < leastLoad && f.load >= x || x < leastLoad/2) {
 		n.module.DelayNote(n.now, f.id, x*1e3)
@@ -205,8 +205,8 @@
 	case f.client.reason == ClientEnded:
 		n.finished(f, Ended, ClientEnded, placement.CalledOff)
 	default:
-		// Guards against a stream that ends in good order being taken for a jam, for which others were moved off:
-		// a host that sheds, or dies, breaks what it drops.
+		// Guards against a stream that ends in good order being taken for a jam, for which others were moved
+		// off: a host that sheds, or dies, breaks what it drops.
 		n.finished(f, Ended, HostEnded, placement.CalledOff)
 	}
 }
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -50,8 +50,8 @@
 		if n.isReady() {
 			words = line.PongLine
 		}
-		// Guards against one who asks hundreds of times at once, or asks and stays: neither its answers nor its
-		// time may grow without bound, so lineWait goes on from the accept.
+		// Guards against one who asks hundreds of times at once, or asks and stays: neither its answers nor
+		// its time may grow without bound, so lineWait goes on from the accept.
 		if c.own = append(c.own, words...); len(c.own) > mostOwn {
 			n.answer(c, []byte(line.ErrLine), ClientOdd)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,8 +75,8 @@
 // New gives a node at its start; the first Apply is due at once.
 func New(now float64, s Start) *Node {
 	s.Rundown.Subscribe = true // on sockets the list always comes by a watch
-	// A host sends a line back at once, also when its work piles up. Guards against hosts taken for jammed that
-	// are not: where reports tell the load itself, the time of a probe adds nothing but noise.
+	// A host sends a line back at once, also when its work piles up. Guards against hosts taken for jammed
+	// that are not: where reports tell the load itself, the time of a probe adds nothing but noise.
 	s.Rundown.Timed = !s.Rundown.Reports && !s.Door.TellsDelay
 	n := &Node{module: placement.New(s.Rundown), door: s.Door, now: now, conns: map[Conn]*conn{},
 		ids: newIDs(), limit: s.Sockets, byName: map[string]int{},
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -547,8 +547,8 @@
 	}
 }
 
-// Hosts tell a load and a delay under one word. Guards against the delay of a jam being taken for a load of next to
-// nothing: on the days of a large fleet the jammed hosts looked empty, and flows went on to them.
+// Hosts tell a load and a delay under one word. Guards against the delay of a jam being taken for a load of
+// next to nothing: on the days of a large fleet the jammed hosts looked empty, and flows went on to them.
 func TestDelaysUnderLoad(t *testing.T) {
 	for _, c := range []struct {
 		name          string
@@ -992,7 +992,8 @@
 	})
 }
 
-// What discovery may say wrongly, or again and again: each has a stated treatment, and each flow gets its answer.
+// What discovery may say wrongly, or again and again: each has a stated treatment, and each flow gets its
+// answer.
 func TestOddLists(t *testing.T) {
 	thousand := hostList(1000)
 	twice := hostList(1)
@@ -1039,7 +1040,8 @@
 	}
 }
 
-// A watch that ends at once, again and again: whether it told something or not, it is not taken up in step with it.
+// A watch that ends at once, again and again: whether it told something or not, it is not taken up in step
+// with it.
 func TestWatchEndsAtOnce(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -362,8 +362,9 @@
 		}
 	}
 	common := bad / max(all, 1)
-	// Guards against a shared store being taken for sick servers: where one in twenty errs or gets no answer, and
-	// as many fail at the others, fewer go out: once for all on their way. What breaks is a server that died.
+	// Guards against a shared store being taken for sick servers: where one in twenty errs or gets no answer,
+	// and as many fail at the others, fewer go out: once for all on their way. What breaks is a server that
+	// died.
 	if (how == Errored || how == Unanswered) && common > 0.05 && now-b.gateAt >= 0.2 {
 		if math.IsInf(b.gate, 1) {
 			b.say("failures common, %.0f%% of connects: gate at %d out", 100*common, b.out)
@@ -371,8 +372,8 @@
 		b.gateAt = now
 		b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 	}
-	// A refused connect tells of its server alone. Guards against a list told late, most of which has gone: nodes of few
-	// flows took many dead servers for a trouble that all share, and went on trying them.
+	// A refused connect tells of its server alone. Guards against a list told late, most of which has gone:
+	// nodes of few flows took many dead servers for a trouble that all share, and went on trying them.
 	most := max(1, ready/3)
 	if how == Unreached {
 		common, most = 0, max(1, ready*2/3)
@@ -392,7 +393,8 @@
 	}
 	s.cutAt = now
 	s.ceiling = max(by*min(s.work, s.ceiling), b.meanLoad()*(1-b.blind)) // lower floors measured worse
-	s.round = b.chance()                                                 // guards against a floor of one connection a node, which for a hundred nodes is no ceiling
+	// Guards against a floor of one connection a node, which for a hundred nodes is no ceiling.
+	s.round = b.chance()
 }
 
 // LoadNote takes the load of an open connection.
@@ -552,8 +554,9 @@
 	if now-s.windowFrom >= b.FallFor {
 		s.windowFrom, s.spent, s.luck = now, 0, b.chance()
 	}
-	// Guards against a part that is void in nearly every window, as one of a hundred nodes sees a flow in seconds:
-	// cold servers stood empty beside jammed ones. One draw a window, lest each of a hundred sends one.
+	// Guards against a part that is void in nearly every window, as one of a hundred nodes sees a flow in
+	// seconds: cold servers stood empty beside jammed ones. One draw a window, lest each of a hundred sends
+	// one.
 	part := max(least, 1/float64(b.Nodes), warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
 	return s.spent+1 <= part+s.luck
 }
@@ -590,8 +593,8 @@
 		return entry, next, full
 	}
 	next = b.homeOf(f.home) // a group shares its work: what spills goes on from the group's home
-	// What comes back had too much where it was, whichever node chose that: home, or anywhere, lest a node that
-	// sees little sends it where it was dropped. Others go home as strain is seen.
+	// What comes back had too much where it was, whichever node chose that: home, or anywhere, lest a node
+	// that sees little sends it where it was dropped. Others go home as strain is seen.
 	if f.back && !mid && b.chance() < searchShare*b.blind {
 		next = int(b.chance() * float64(m))
 	}
@@ -630,8 +633,9 @@
 		}
 		s := &b.servers[at]
 		warm := b.warmth(now, s)
-		// What all nodes may send here is the rule's multiple of its even share among all listed: one flow in m enters
-		// here, what spills comes from everywhere. Guards against a cold server that is the last one left.
+		// What all nodes may send here is the rule's multiple of its even share among all listed: one flow in
+		// m enters here, what spills comes from everywhere. Guards against a cold server that is the last one
+		// left.
 		share := warm * min(1, b.FallMultiple/2/max(float64(m), float64(len(b.base))/2))
 		if k == 0 {
 			share = warm * min(1, b.FallMultiple/2*float64(m)/float64(len(b.base)))
@@ -721,8 +725,9 @@
 	return Decision{Do: Abort, Flow: id}, true
 }
 
-// over tells whether a server holds too much: anything, once it drains, as clients must move before it goes. What is
-// over by less than one connection counts by chance, so that all nodes together move about what is over.
+// over tells whether a server holds too much: anything, once it drains, as clients must move before it goes.
+// What is over by less than one connection counts by chance, so that all nodes together move about what is
+// over.
 func (b *Balancer) over(now float64, s *server) bool {
 	return s.State == Draining && now-s.drainAt > drainWait || s.work > slack*s.ceiling &&
 		(s.ceiling >= b.meanLoad() || s.work-s.ceiling > s.round*s.work)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -220,10 +220,9 @@
 	}
 }
 
-// Where a node sees little of the fleet, clients that come back in a jam are paced; where it sees it, they are placed.
-// A node of many sees a flow now and then, and its part of a cold server's budget is far under one connect: void
-// in nearly every window, it left cold servers empty. All nodes together give one its even share by its warmth,
-// and no more than the rule's multiple of it where every other server turns flows away.
+// A node of many sees a flow now and then, and its part of a cold server's budget is far under one connect:
+// void in nearly every window, it left cold servers empty. All nodes together give one its even share by its
+// warmth, and no more than the rule's multiple of it where every other server turns flows away.
 func TestColdShareOfManyNodes(t *testing.T) {
 	const n, fresh = 12, 4
 	for _, c := range []struct {
@@ -268,9 +267,9 @@
 	}
 }
 
-// A hundred nodes with one connection each on a jammed server: each alone holds too little to be over any ceiling, so none
-// moved its own, and the jam stood for as long as its connections lived. Now a part of all nodes moves theirs
-// at each note, and more while it goes on, but never all at once.
+// A hundred nodes with one connection each on a jammed server: each alone holds too little to be over any
+// ceiling, so none moved its own, and the jam stood for as long as its connections lived. Now a part of all
+// nodes moves theirs at each note, and more while it goes on, but never all at once.
 func TestJamOfOneConnectionEach(t *testing.T) {
 	const nodes, at = 100, 3
 	for _, c := range []struct {
@@ -307,6 +306,8 @@
 	}
 }
 
+// Where a node sees little of the fleet, clients that come back in a jam are paced; where it sees it, they
+// are placed.
 func TestPacedReturns(t *testing.T) {
 	for _, c := range []struct {
 		name         string
@@ -408,8 +409,8 @@
 	}
 }
 
-// A list told late, half of whose servers are gone: refused connects tell of each alone, and a node of few flows learns
-// it from one. Taken for a trouble that all share, dead servers were tried again and again.
+// A list told late, half of whose servers are gone: refused connects tell of each alone, and a node of few
+// flows learns it from one. Taken for a trouble that all share, dead servers were tried again and again.
 func TestManyUnreached(t *testing.T) {
 	for _, c := range []struct {
 		name             string
@@ -737,7 +738,8 @@
 	}
 }
 
-// What a flow and a beat cost per server held in view must not grow: compare the figures of 10, 100 and 1,000.
+// What a flow and a beat cost per server held in view must not grow: compare the figures of 10, 100 and
+// 1,000.
 func BenchmarkFleet(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
@@ -805,7 +807,8 @@
 	}
 }
 
-// A node whose first probes met a burst, its own or the server's, still sees a jam by the best of all servers.
+// A node whose first probes met a burst, its own or the server's, still sees a jam by the best of all
+// servers.
 func TestProbesOfABurst(t *testing.T) {
 	for _, c := range []struct {
 		best, first, took float64
@@ -929,8 +932,9 @@
 	}
 }
 
-// What all nodes together ask of discovery and of servers, at any number of them. Guards against costs that are nothing for one
-// node and a flood for a thousand: probes of servers in use, first list calls, connects to a cold server.
+// What all nodes together ask of discovery and of servers, at any number of them. Guards against costs that
+// are nothing for one node and a flood for a thousand: probes of servers in use, first list calls, connects
+// to a cold server.
 func TestSumsOverAllNodes(t *testing.T) {
 	const servers = 60
 	for _, nodes := range []int{1, 3, 80, 1000} {
