--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1080,3 +1080,48 @@
 		}
 	}
 }
+
+// An idle node wakes for its module's beat alone, however many hosts are listed. Guards against timers that wake
+// for nothing: where many nodes share a machine, each pays for the others' wakes.
+func TestIdleWakes(t *testing.T) {
+	for _, hosts := range []int{10, 60, 1000} {
+		w := newWorld(t, "proxy", hosts, 1000)
+		wakes, at := 0, w.now
+		for end := w.now + 10; ; wakes++ {
+			for _, e := range w.n.Apply(at, Tick{}) {
+				if timer, ok := e.(Timer); ok {
+					w.now = timer.At
+				}
+			}
+			if at == w.now || w.now > end {
+				break
+			}
+			at = w.now
+		}
+		if wakes > 42 || wakes < 30 {
+			t.Errorf("%d hosts: %d wakes in 10 s, wanted four a second", hosts, wakes)
+		}
+	}
+}
+
+// What an idle second costs, a host: compare the figures of 10, 60 and 1,000.
+func BenchmarkIdleSecond(b *testing.B) {
+	for _, hosts := range []int{10, 60, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			r, d, err := rundown.Read(fmt.Appendf(nil, settings, "proxy"), 7)
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := 1e9
+			n := New(now, Start{Rundown: r, Door: d, Known: hostList(hosts), Sockets: 1000})
+			b.ReportAllocs()
+			for b.Loop() {
+				for range 4 {
+					now += 0.25
+					n.Apply(now, Tick{})
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*hosts), "ns/s/host")
+		})
+	}
+}
