--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -48,7 +48,6 @@
 	asked  float64 // seconds of service asked for, and those well served
 	served float64
 	gone   bool
-	cameAt float64
 	turn   int // of the connection, so that late events of an old one are void
 }
 
@@ -112,7 +111,7 @@
 		c.line(string(bytes.TrimSpace(row)))
 		if c.turn != turn && !up && bytes.IndexByte(c.text, '\n') >= 0 { // more than the last word
 			f.answers++
-			c.w.rules.answered(f, line.Other)
+			c.w.rules.answered(f)
 		}
 	}
 	if c.turn == turn && c.s.end != going {
@@ -153,7 +152,7 @@
 		return
 	}
 	c.flow.answers++
-	w.rules.answered(c.flow, word)
+	w.rules.answered(c.flow)
 	switch word {
 	case line.Up:
 		c.up, c.upAt, c.tries = true, w.now, 0
--- a/internal/emulator/clock.go
+++ b/internal/emulator/clock.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/heap"
+	"hash/fnv"
 	"math/rand/v2"
 )
 
@@ -74,9 +75,7 @@
 
 // fork gives a stream of chance of its own, so that one actor's draws do not shift another's.
 func fork(seed uint64, actor string, n int) *rand.Rand {
-	h := uint64(14695981039346656037)
-	for _, c := range []byte(actor) {
-		h = (h ^ uint64(c)) * 1099511628211
-	}
-	return rand.New(rand.NewPCG(seed, h+uint64(n)))
+	h := fnv.New64a()
+	h.Write([]byte(actor))
+	return rand.New(rand.NewPCG(seed, h.Sum64()+uint64(n)))
 }
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 
 	"gorseledge/internal/line"
 )
@@ -56,7 +55,6 @@
 	up    bool
 	asked bool // its load counts among the pending
 	over  bool
-	since float64
 }
 
 // warmth is the share of its capacity that it has by now.
@@ -81,7 +79,7 @@
 }
 
 func (h *host) accept(s *socket) {
-	c := &session{host: h, s: s, since: h.w.now}
+	c := &session{host: h, s: s}
 	s.wake = func() { c.hear() }
 }
 
@@ -123,9 +121,9 @@
 
 // later runs something for this session, unless it is over by then.
 func (c *session) later(seconds float64, run func()) {
-	since := c.host.since
+	since := c.since
 	c.w.after(seconds, func() {
-		if !c.over && c.running && !c.stalled && c.host.since == since {
+		if !c.over && c.running && !c.stalled && c.since == since {
 			run()
 		}
 	})
@@ -293,5 +291,3 @@
 	}
 	return 2e-3, true
 }
-
-func number(name string) string { return name[strings.LastIndexByte(name, '-')+1:] }
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -1,10 +1,6 @@
 package emulator
 
-import (
-	"fmt"
-
-	"gorseledge/internal/line"
-)
+import "fmt"
 
 // Break is a broken rule: which, when, after how many steps, and the last that was traced.
 type Break struct {
@@ -42,7 +38,7 @@
 }
 
 // answered checks that a client's first answer is its only one.
-func (r *rules) answered(f *flow, _ line.Word) {
+func (r *rules) answered(f *flow) {
 	if f.answers > 1 {
 		r.broken(OneAnswer, "flow %s got %d answers", f.id, f.answers)
 	}
--- a/internal/emulator/station.go
+++ b/internal/emulator/station.go
@@ -23,13 +23,11 @@
 	index   int
 	core    Core
 	running bool
-	seenUp  bool // by the front
 	conns   map[node.Conn]*port
 	last    node.Conn
 	freeAt  float64 // when its processor is done with what came before
 	watch   int     // number of the watch that stands
 	timer   int
-	index0  int64
 	told    map[string]float64 // when it learned that a host drains or is gone
 	cpu     float64
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash"
+	"hash/fnv"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -74,8 +76,7 @@
 	chance    *rand.Rand
 	settings  []byte
 	last      []string
-	hash      uint64
-	storeWas  float64
+	hash      hash.Hash64
 }
 
 func zoneName(z int) string { return fmt.Sprintf("z%d", z) }
@@ -102,7 +103,7 @@
 
 func newWorld(s Scenario, seed uint64, o Options) *World {
 	w := &World{script: s, options: o, seed: seed, base: 1e9, byName: map[string]*host{}, byID: map[string]*flow{},
-		chance: fork(seed, "world", 0), hash: 14695981039346656037}
+		chance: fork(seed, "world", 0), hash: fnv.New64a()}
 	w.net = &network{chance: fork(seed, "network", 0), near: s.Network.Near, far: s.Network.Far,
 		jitter: s.Network.Jitter, bandwidth: s.Network.Bandwidth, pieces: s.Network.Pieces}
 	w.network = w.net
@@ -215,7 +216,7 @@
 		}
 		i := len(w.clients)
 		c := &client{machine: newMachine(fmt.Sprintf("c%d", i), chance.IntN(w.script.Fleet.Zones)), w: w, t: t, kind: kind,
-			chance: fork(w.seed, "client", i), cameAt: w.now}
+			chance: fork(w.seed, "client", i)}
 		c.key, c.stay = c.chance.Uint64()|1, t.Lives*c.chance.ExpFloat64()+0.1
 		c.load = t.Load * (0.5 + c.chance.Float64())
 		if t.Group > 0 {
@@ -258,9 +259,7 @@
 
 func (w *World) trace(format string, args ...any) {
 	text := fmt.Sprintf("%.6f ", w.now) + fmt.Sprintf(format, args...)
-	for _, c := range []byte(text) {
-		w.hash = (w.hash ^ uint64(c)) * 1099511628211
-	}
+	w.hash.Write([]byte(text))
 	if w.last = append(w.last, text); len(w.last) > 2*keptLines {
 		w.last = append(w.last[:0], w.last[keptLines:]...)
 	}
@@ -293,7 +292,7 @@
 	for _, n := range w.nodes {
 		r.CPU += n.cpu
 	}
-	r.StorePeak, r.StoreRefused, r.Steps, r.Breaks, r.Trace = w.store.peak, w.store.refused, w.steps, w.rules.breaks, w.hash
+	r.StorePeak, r.StoreRefused, r.Steps, r.Breaks, r.Trace = w.store.peak, w.store.refused, w.steps, w.rules.breaks, w.hash.Sum64()
 	return r
 }
 
