Second address: readiness, figures, and hosts taken out by hand

Tests: calls right and wrong, 200 silent callers, properties of the figures over random sequences, hosts by hand against list and module, sums over 1 to 1,000 nodes. Also: an answer of a host that overtakes the word that its line is written counts as written.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,109 @@
+// Package admin is the second address: it puts an operator's call to the node and writes what comes back. It
+// keeps no state of the node's and decides nothing.
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"strings"
+	"time"
+
+	"gorseledge/internal/node"
+)
+
+const (
+	answerWithin = 800 * time.Millisecond // the node's time; every call is due within a second
+	callWithin   = 2 * time.Second        // for a call to come whole
+	longestCall  = 2 << 10                // bytes of its head, of which net/http takes 4 KiB more, and of its body
+)
+
+// Ask puts a question to the node; false if the context ended before it answered.
+type Ask func(ctx context.Context, q node.Asked) (node.Answer, bool)
+
+// Handler answers the calls.
+func Handler(ask Ask) http.Handler {
+	mux := http.NewServeMux()
+	put := func(pattern string, what node.Question, write func(w http.ResponseWriter, a node.Answer)) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+			defer cancel()
+			a, ok := ask(ctx, node.Asked{What: what, Host: r.PathValue("id")})
+			if !ok {
+				http.Error(w, "the node has not answered in time", http.StatusServiceUnavailable)
+				return
+			}
+			write(w, a)
+		})
+	}
+	yes := func(no int, why string) func(http.ResponseWriter, node.Answer) {
+		return func(w http.ResponseWriter, a node.Answer) {
+			if !a.Yes {
+				http.Error(w, why, no)
+				return
+			}
+			fmt.Fprintln(w, "yes")
+		}
+	}
+	put("GET /-/ready", node.IsReady, yes(http.StatusServiceUnavailable, "not ready"))
+	put("GET /-/metrics", node.HowMany, func(w http.ResponseWriter, a node.Answer) { write(w, a.Figures) })
+	put("PUT /-/hosts/{id}/disable", node.TakeOut, yes(http.StatusNotFound, "no such host"))
+	put("PUT /-/hosts/{id}/enable", node.PutBack, yes(http.StatusNotFound, "no such host"))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p := r.URL.Path; path.Clean("/"+p) != p { // guards against a redirect, which is neither yes nor no
+			http.NotFound(w, r)
+			return
+		}
+		// Guards against acting on half a call, and against a body without end.
+		_, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, longestCall))
+		if tooLong := (*http.MaxBytesError)(nil); err != nil {
+			code := http.StatusBadRequest
+			if errors.As(err, &tooLong) {
+				code = http.StatusRequestEntityTooLarge
+			}
+			http.Error(w, http.StatusText(code), code)
+			return
+		}
+		complete(r.Context())
+		mux.ServeHTTP(w, r)
+	})
+}
+
+var plain = strings.NewReplacer(":", "_", "|", "_", "\r", "_", "\n", "_")
+
+// write gives the figures, one a line: counts since the start of the process and, of what is now, gauges.
+func write(w io.Writer, f node.Figures) {
+	var text strings.Builder
+	count := func(name string, n int) { fmt.Fprintf(&text, "lb.%s:%d|c\n", name, n) }
+	gauge := func(name string, n int) { fmt.Fprintf(&text, "lb.%s:%d|g\n", name, n) }
+	for _, t := range f.Types {
+		name := plain.Replace(t.Type)
+		count("success."+name, t.Established)
+		count("overload."+name, t.Rejected)
+		count("error."+name, t.Aborted)
+	}
+	count("dispatches", f.Dispatched)
+	gauge("concurrent", f.Open)
+	gauge("targets", f.Listed)
+	gauge("targets_disabled", f.Avoided)
+	io.WriteString(w, text.String())
+}
+
+// Serve answers calls that come to ln, over at most that many connections at once, until the context ends.
+func Serve(ctx context.Context, ln net.Listener, most int, ask Ask) error {
+	door := newDoor(ln, most)
+	server := &http.Server{Handler: Handler(ask), ReadTimeout: callWithin, WriteTimeout: callWithin + time.Second,
+		MaxHeaderBytes: longestCall, ConnContext: door.mark, ConnState: door.state, ErrorLog: nothing,
+		DisableGeneralOptionsHandler: true}
+	server.SetKeepAlivesEnabled(false)
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(door); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -161,7 +161,7 @@
 		return
 	}
 	if c.role == server && len(c.own) == 0 && c.flow != nil {
-		c.flow.sent = true // the line's last byte is out: from here on the connect may have run
+		n.dispatched(c.flow)
 	}
 	n.flush(c)
 }
@@ -189,6 +189,9 @@
 	if count > 0 && c.role != client {
 		n.hosts[c.host].heard = n.now
 	}
+	if count > 0 && c.role == server && c.writing > 0 && len(c.own) == c.writing {
+		n.dispatched(c.flow) // guards against an answer that overtakes the word that its question is written
+	}
 	c.ended = end
 	if c.finish != Open && !n.halfOpen(c) {
 		n.discard(c, count)
--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -83,6 +83,7 @@
 		}
 		c.calm()
 		f.established, f.setup = true, n.now-f.client.since
+		n.settled(&n.figures.Types[f.kind].Established)
 		if !f.carried {
 			n.module.Established(f.id, f.try, n.now-f.sentAt)
 		}
@@ -214,13 +215,14 @@
 // left takes a client that does not wait for its answer.
 func (n *Node) left(f *flow) {
 	n.quit(f)
+	n.settled(&n.figures.Types[f.kind].Left)
 	f.client.reason = ClientLeft
 	n.close(f.client, false)
 }
 
 // quit calls off what goes on for a flow that is not established.
 func (n *Node) quit(f *flow) {
-	f.over = true
+	n.gone(f)
 	n.module.Left(f.id)
 	if f.out {
 		f.out = false
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -53,6 +53,11 @@
 	Tick struct{}
 	// Leave asks the node to go.
 	Leave struct{}
+	// Asked is a question of the second address, answered by Answer in the same Apply.
+	Asked struct {
+		What Question
+		Host string // by name, where one is meant
+	}
 )
 
 func (Accepted) input()  {}
@@ -65,6 +70,18 @@
 func (Relocated) input() {}
 func (Tick) input()      {}
 func (Leave) input()     {}
+func (Asked) input()     {}
+
+// Question is what the second address may ask.
+type Question uint8
+
+// The questions.
+const (
+	IsReady Question = iota // may clients be sent here?
+	HowMany                 // the figures
+	TakeOut                 // the host takes nothing new from now on
+	PutBack                 // it does again, if list and module allow it
+)
 
 // Effect is one thing that the core asks for.
 type Effect interface{ effect() }
@@ -105,18 +122,24 @@
 	Done struct{ Record Record }
 	// Exit says that nothing is left to do.
 	Exit struct{}
+	// Answer is the answer to what was Asked: no for a node that is not ready or a host that is not known.
+	Answer struct {
+		Yes     bool
+		Figures Figures // of HowMany
+	}
 )
 
-func (Dial) effect()  {}
-func (Read) effect()  {}
-func (Write) effect() {}
-func (Shut) effect()  {}
-func (Close) effect() {}
-func (Watch) effect() {}
-func (Timer) effect() {}
-func (Note) effect()  {}
-func (Done) effect()  {}
-func (Exit) effect()  {}
+func (Dial) effect()   {}
+func (Read) effect()   {}
+func (Write) effect()  {}
+func (Shut) effect()   {}
+func (Close) effect()  {}
+func (Watch) effect()  {}
+func (Timer) effect()  {}
+func (Note) effect()   {}
+func (Done) effect()   {}
+func (Exit) effect()   {}
+func (Answer) effect() {}
 
 // Record is what the log keeps of a client's connection.
 type Record struct {
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -81,20 +81,30 @@
 	case !known:
 		n.answer(c, []byte(line.ErrLine), UnknownType)
 	case !n.affords():
-		n.answer(c, line.BusyLine(0), NoSockets)
+		n.turnAway(c, kind, NoSockets)
 	case n.leaving && !n.door.PassThrough || n.late():
-		n.answer(c, line.BusyLine(0), Leaving)
+		n.turnAway(c, kind, Leaving)
 	default:
 		n.begin(c, &flow{client: c, kind: kind, try: -1, opening: o, first: append([]byte(nil), text...)})
 	}
 }
 
+// turnAway rejects a flow that the module never hears of.
+func (n *Node) turnAway(c *conn, kind int, why Reason) {
+	words := line.BusyLine(0)
+	n.taken()
+	n.told(kind, words)
+	n.figures.Open--
+	n.answer(c, words, why)
+}
+
 func (n *Node) begin(c *conn, f *flow) {
 	at, listed := n.byName[f.opening.At]
 	if f.opening.At != "" && (!listed || n.hosts[at].address == "") {
-		n.answer(c, line.BusyLine(0), UnknownHost)
+		n.turnAway(c, f.kind, UnknownHost)
 		return
 	}
+	n.taken()
 	if free := len(n.free); free > 0 {
 		f.id, n.free = n.free[free-1], n.free[:free-1]
 		n.flows[f.id] = f
@@ -123,9 +133,10 @@
 	c.reason = why
 	c.own = append(c.own, words...)
 	c.finish = Ended
-	if c.flow != nil {
-		c.flow.over = true
-		n.touched = append(n.touched, c.flow.id)
+	if f := c.flow; f != nil {
+		n.told(f.kind, words)
+		n.gone(f)
+		n.touched = append(n.touched, f.id)
 	}
 	n.flush(c)
 }
@@ -147,7 +158,8 @@
 
 // finished tells the module that an established connection is over and ends the client's side in kind.
 func (n *Node) finished(f *flow, end End, why Reason, how placement.Outcome) {
-	f.over, f.out = true, false
+	n.gone(f)
+	f.out = false
 	n.module.Ended(n.now, f.id, f.try, how, true)
 	n.touched = append(n.touched, f.id)
 	c := f.client
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 
 	types, tenants, zones map[string]int
 
+	figures Figures
 	dues    dues
 	wakeAt  float64 // the module's wake
 	timerAt float64 // the timer asked for last
@@ -83,6 +84,9 @@
 		probes: probeWords(s.Rundown.Reports), mayProbe: s.Rundown.Probes,
 		types: places(s.Door.Types), tenants: places(s.Door.Tenants), zones: places(s.Door.Zones),
 		wakeAt: math.Inf(1), timerAt: math.Inf(1)}
+	for _, name := range s.Door.Types {
+		n.figures.Types = append(n.figures.Types, Tally{Type: name})
+	}
 	n.list(placement.ListCached, s.Known)
 	return n
 }
@@ -146,6 +150,8 @@
 		n.watch()
 	case Leave:
 		n.leave()
+	case Asked:
+		n.asked(in)
 	case Tick:
 		n.timerAt = math.Inf(1)
 	}
--- a/internal/sockets/config.go
+++ b/internal/sockets/config.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 
 	"gorseledge/internal/discovery/roster"
@@ -18,6 +19,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Admin     string `json:"admin_addr"` // the second address; none where it is empty
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -31,6 +33,8 @@
 const (
 	ownDescriptors = 16  // standard streams, listener, poller, discovery
 	manySockets    = 512 // where no limit is told
+	callerShare    = 16  // one in so many descriptors may be with callers of the second address
+	mostCallers    = 32
 )
 
 // ReadConfig reads the file that LB_CONFIG names; the other variables stand in for what it lacks.
@@ -47,18 +51,33 @@
 	c.Name = cmp.Or(c.Name, os.Getenv("LB_NAME"))
 	c.Listen = cmp.Or(c.Listen, os.Getenv("LB_LISTEN"))
 	c.Discovery = cmp.Or(c.Discovery, os.Getenv("LB_DISCOVERY"))
+	c.Admin = cmp.Or(c.Admin, os.Getenv("LB_ADMIN_ADDR"))
 	if c.Listen == "" || c.Discovery == "" {
 		return c, fmt.Errorf("config %s: no address to listen on, or none of discovery", path)
 	}
+	if c.Admin == "" {
+		return c, nil
+	}
+	if _, port, err := net.SplitHostPort(c.Admin); err != nil || port == "" {
+		return c, fmt.Errorf("config %s: admin_addr %q is no address with a port", path, c.Admin)
+	}
+	if c.Admin == c.Listen {
+		return c, fmt.Errorf("config %s: admin_addr %q is the clients' address", path, c.Admin)
+	}
 	return c, nil
 }
 
 // differs tells whether something else than discovery and the list known is another here than there.
 func (c Config) differs(from Config) bool {
-	return c.Name != from.Name || c.Listen != from.Listen || c.Limits != from.Limits ||
+	return c.Name != from.Name || c.Listen != from.Listen || c.Admin != from.Admin || c.Limits != from.Limits ||
 		!bytes.Equal(c.Settings, from.Settings)
 }
 
+// callers is how many connections the second address may hold.
+func (c Config) callers() int {
+	return min(max(cmp.Or(max(c.Limits.Sockets, 0), manySockets)/callerShare, 1), mostCallers)
+}
+
 // start turns the config into what the core is told. A known list that does not parse is as good as none.
 func (c Config) start() (node.Start, error) {
 	r, d, err := rundown.Read(c.Settings, line.Number([]byte(c.Seed)))
@@ -70,5 +89,9 @@
 		known = roster.List{}
 	}
 	limit := cmp.Or(max(c.Limits.Sockets, 0), manySockets)
-	return node.Start{Rundown: r, Door: d, Known: known, Sockets: max(limit-ownDescriptors, 2)}, nil
+	own := ownDescriptors
+	if c.Admin != "" {
+		own += 1 + c.callers()
+	}
+	return node.Start{Rundown: r, Door: d, Known: known, Sockets: max(limit-own, 2)}, nil
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"gorseledge/internal/admin"
 	"gorseledge/internal/discovery"
 	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/node"
@@ -50,15 +51,57 @@
 	ctx     context.Context
 	accepts chan *net.TCPConn // holds none: guards against sockets that the core does not count yet
 	inputs  chan any          // node.Input or one of the above
+	asks    chan question     // guards against a crowd of inputs that holds an operator's question up
 	links   map[node.Conn]*link
 	last    node.Conn // number of the last connection accepted
 	began   time.Time
 	base    float64
 	timer   *time.Timer
+	answer  chan<- node.Answer // of the question that the core has
 	roster  *discovery.Client
 	unwatch context.CancelFunc
 }
 
+// question is one for the core; the answer is taken at once.
+type question struct {
+	node.Asked
+	answer chan<- node.Answer
+}
+
+// ask puts a question to the core.
+func (d *door) ask(ctx context.Context, q node.Asked) (node.Answer, bool) {
+	answer := make(chan node.Answer, 1)
+	select {
+	case d.asks <- question{q, answer}:
+	case <-ctx.Done():
+		return node.Answer{}, false
+	case <-d.ctx.Done():
+		return node.Answer{}, false
+	}
+	select {
+	case a := <-answer:
+		return a, true
+	case <-ctx.Done():
+	case <-d.ctx.Done():
+	}
+	return node.Answer{}, false
+}
+
+// second opens the second address, if there is to be one.
+func (d *door) second(ctx context.Context) error {
+	if d.config.Admin == "" {
+		return nil
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", d.config.Admin)
+	if err != nil {
+		return fmt.Errorf("admin_addr: %w", err)
+	}
+	d.log.Info().Str("admin_addr", ln.Addr().String()).Int("callers", d.config.callers()).Msg("second address")
+	d.group.Go(func() error { return admin.Serve(ctx, ln, d.config.callers(), d.ask) })
+	return nil
+}
+
 // Signals are what the platform asks of a node that runs.
 type Signals struct {
 	Leave  <-chan os.Signal
@@ -79,10 +122,15 @@
 	group, ctx := errgroup.WithContext(ctx)
 	began := time.Now()
 	d := &door{config: c, log: log, group: group, ctx: ctx,
-		accepts: make(chan *net.TCPConn), inputs: make(chan any, waiting), links: map[node.Conn]*link{},
-		last: 1, began: began, base: float64(began.UnixNano()) / 1e9, timer: time.NewTimer(0),
+		accepts: make(chan *net.TCPConn), inputs: make(chan any, waiting), asks: make(chan question, c.callers()),
+		links: map[node.Conn]*link{},
+		last:  1, began: began, base: float64(began.UnixNano()) / 1e9, timer: time.NewTimer(0),
 		roster: discovery.New(c.Discovery), unwatch: func() {}}
 	d.core = node.New(d.now(), start)
+	if err := d.second(ctx); err != nil {
+		ln.Close()
+		return err
+	}
 	log.Info().Str("listen", ln.Addr().String()).Int("sockets", start.Sockets).Msg("started")
 	group.Go(func() error { return d.accept(ln.(*net.TCPListener)) })
 	group.Go(func() error {
@@ -191,6 +239,8 @@
 			in = node.Accepted{Conn: d.last}
 		case what := <-d.inputs:
 			in = d.arrived(what)
+		case q := <-d.asks:
+			d.answer, in = q.answer, q.Asked
 		}
 		if in == nil {
 			continue
@@ -267,6 +317,8 @@
 		d.log.Info().Str("reason", string(r.Reason)).Str("type", r.Type).Str("host", r.Host).
 			Int("connects", r.Connects).Float64("setup_s", round(r.Setup)).Float64("lasted_s", round(r.Lasted)).
 			Uint64("up", r.Up).Uint64("down", r.Down).Msg("ended")
+	case node.Answer:
+		d.answer <- e
 	case node.Exit:
 		return false
 	}
--- /dev/null
+++ b/placement/hand_test.go
@@ -0,0 +1,168 @@
+package placement
+
+import "testing"
+
+// What an operator, the list and the module say of a server are three states; it takes flows if all three allow
+// it.
+func TestByHand(t *testing.T) {
+	key := keyFor(2, 5)
+	const n = 5
+	since := func(g *rig, at float64, st State) {
+		it := g.entry(2, st)
+		it.Since = at
+		g.List(g.now, ListChanges, []Listing{it})
+	}
+	hand := func(out bool) func(*rig) { return func(g *rig) { g.ByHand(g.now, g.index(2), out) } }
+	whole := func(g *rig) {
+		var all []Listing
+		for i := range n {
+			all = append(all, g.entry(i, Ready))
+		}
+		g.List(g.now, ListFull, all)
+	}
+	cases := []struct {
+		name  string
+		steps []func(*rig)
+		takes bool
+	}{
+		{"out", []func(*rig){hand(true)}, false},
+		{"out, and back", []func(*rig){hand(true), hand(false)}, true},
+		{"out twice, one call back undoes both", []func(*rig){hand(true), hand(true), hand(false)}, true},
+		{"back without having been out", []func(*rig){hand(false)}, true},
+		{"out, a whole list", []func(*rig){hand(true), whole}, false},
+		{"out, a new start", []func(*rig){hand(true), func(g *rig) { since(g, g.now+1, Ready) }}, false},
+		{"out, drains, serves again", []func(*rig){hand(true), func(g *rig) { since(g, 0, Draining) }, whole}, false},
+		{"out, gone, listed anew", []func(*rig){hand(true), func(g *rig) { since(g, 0, Gone) },
+			func(g *rig) { since(g, g.now, Ready) }}, false},
+		{"back, but it drains", []func(*rig){hand(true), func(g *rig) { since(g, 0, Draining) }, hand(false)}, false},
+		{"out when it was set aside, and probes are answered", []func(*rig){
+			func(g *rig) { g.servers[g.index(2)].aside = true }, hand(true), func(g *rig) {
+				for range 3 {
+					g.Probed(g.now, g.index(2), Served, Report{Load: -1})
+				}
+			}}, false},
+		{"set aside, out and back: its operators vouch for it", []func(*rig){
+			func(g *rig) { g.servers[g.index(2)].aside = true }, hand(true), hand(false)}, true},
+	}
+	for _, c := range cases {
+		g := newRig(n, nil)
+		for _, step := range c.steps {
+			step(g)
+		}
+		g.now += 11 // warm again
+		before := len(g.base)
+		_, avoided := g.Avoided(g.now)
+		if _, at := g.arrive(1, Arrival{Key: key}); (at == 2) != c.takes || before != n || (avoided == 0) != c.takes {
+			t.Errorf("%s: sent to %d of %d, %d avoided", c.name, at, before, avoided)
+		}
+		if _, at := g.arrive(2, Arrival{Key: key, MidFlow: true}); (at == 2) != c.takes {
+			t.Errorf("%s: a mid-flow connection went to %d", c.name, at)
+		}
+	}
+}
+
+// Its clients are moved at once, at the pace of a drain; nothing probes it; the last one out leaves an answer with
+// a retry time.
+func TestOutMovesAndAnswers(t *testing.T) {
+	g := newRig(1, nil)
+	g.fill(0, 20)
+	for id := range 20 {
+		g.LoadNote(id, 0.02)
+	}
+	g.ByHand(g.now, g.index(0), true)
+	moved, first := 0, 0
+	for i, d := range g.pass(6) {
+		switch d.Do {
+		case Move:
+			if moved++; i == 0 {
+				first++
+			}
+			g.Ended(g.now, d.Flow, 0, CalledOff, true)
+		case Probe:
+			t.Fatal("it is probed")
+		}
+	}
+	if moved != 20 {
+		t.Errorf("%d of 20 moved", moved)
+	}
+	if d, _ := g.arrive(50, Arrival{Key: 5}); d.Do != Reject || d.Within <= 0 {
+		t.Errorf("the last server out: %v", d)
+	}
+}
+
+// A server put back counts as cold until a list tells of its start, and is entered soon by one flow, whoever's.
+func TestPutBack(t *testing.T) {
+	const n = 8
+	used, soon, warm := 0, 0, 0
+	for seed := range uint64(60) {
+		g := newRig(n, func(r *Rundown) { r.Seed, r.Nodes = seed, 3 })
+		g.fill(0, 4*n)
+		g.ByHand(g.now, g.index(2), true)
+		for id := range g.flows {
+			if g.flows[id].out && g.flows[id].at == g.index(2) {
+				g.Ended(g.now, id, 0, CalledOff, true)
+			}
+		}
+		g.now += 3
+		g.ByHand(g.now, g.index(2), false)
+		if w := g.warmth(g.now, &g.servers[g.index(2)]); w != g.ColdFrom {
+			t.Fatalf("warmth %v", w)
+		}
+		at := 0
+		for i := range 6 { // a flow in 0.8 s, none of them with its primary there
+			g.now += 0.8
+			if _, to := g.arrive(100+i, Arrival{Key: keyFor(3, n)}); to == 2 {
+				at++
+			}
+		}
+		if at > 0 {
+			used++
+		}
+		if at > 1 {
+			soon++
+		}
+		it := g.entry(2, Ready) // the list tells its start at last: that counts, not the call
+		it.Since = 990
+		g.List(g.now, ListChanges, []Listing{it})
+		if g.warmth(g.now, &g.servers[g.index(2)]) >= 1 {
+			warm++
+		}
+	}
+	if used < 55 {
+		t.Errorf("used within 5 s by %d of 60", used)
+	}
+	if soon > 20 {
+		t.Errorf("%d of 60 sent more than one flow to a cold server", soon)
+	}
+	if warm != 60 {
+		t.Errorf("warm by the list's word in %d of 60", warm)
+	}
+}
+
+// All nodes hear of a call back at once: what they send to the cold server in one window stays within the rule.
+func TestPutBackOfAllNodes(t *testing.T) {
+	for _, nodes := range []int{1, 3, 80, 1000} {
+		sent, windows := 0, map[int]int{}
+		for node := range nodes {
+			g := newRig(12, func(r *Rundown) { r.Seed, r.Nodes = uint64(node), nodes })
+			g.fill(0, 6) // half a connection a server
+			g.ByHand(g.now, g.index(2), true)
+			g.now += 3
+			g.ByHand(g.now, g.index(2), false)
+			from := g.now
+			for i := range 10 {
+				g.now += 0.25
+				if _, at := g.arrive(100+i, Arrival{Key: keyFor(4, 12)}); at == 2 {
+					sent++
+					windows[int((g.now-from)/g.FallFor)]++
+				}
+			}
+		}
+		// A warm server holds half a connection a node; a cold one bears a fifth of it, and the rule three times that.
+		for w, count := range windows {
+			if limit := max(2, float64(nodes)*0.5*0.2*3); float64(count) > limit {
+				t.Errorf("%d nodes: %d connects in window %d, at most %.0f", nodes, count, w, limit)
+			}
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,6 +33,7 @@
 	listPace    = 500  // lines a second that any list service is trusted with
 	slack       = 1.1  // over a ceiling before connections are moved: loads swing by as much
 	homeFactor  = 2.0  // of the mean held; 1.25 and 3 measured worse
+	backWithin  = 2.0  // for a server put back by hand to be entered by a flow, of the 5 s that are owed
 	drainWait   = 3.0  // for a server that drains to send its clients away itself
 	probePace   = 0.5  // between probes of one server set aside
 	probeNoise  = 4e-3 // what the time of a probe varies by on a sound network
@@ -41,8 +42,10 @@
 
 type server struct {
 	Listing
-	mark                    uint64 // hash of the id
-	listed                  bool
+	mark                    uint64  // hash of the id
+	listed, byHand          bool    // byHand: an operator took it out
+	handAt                  float64 // when that was; put back, when it counts as started, if no list tells it
+	wanted                  float64 // put back: a fresh flow enters here from then on; 0 once one did
 	held                    int     // this balancer's connections and connects out
 	work                    float64 // their load
 	ceiling                 float64 // of work, once it was seen to be too much; infinite before
@@ -160,9 +163,12 @@
 	for _, it := range items {
 		s := b.server(it.Server)
 		if it.Since != s.Since { // a fresh process: what was known of the old one is void
-			held, work, probing := s.held, s.work, s.probing
+			old := *s
 			*s = unknown()
-			s.held, s.work, s.probing = held, work, probing
+			s.held, s.work, s.probing = old.held, old.work, old.probing
+			if s.byHand, s.wanted = old.byHand, old.wanted; s.byHand {
+				s.handAt = old.handAt
+			}
 		}
 		if it.State == Draining && s.State != Draining {
 			s.drainAt = now
@@ -184,6 +190,36 @@
 	}
 }
 
+// ByHand takes an operator's word that a server takes nothing new (out), or may again; false where it held
+// already. Guards against a later list undoing it: neither list nor probes touch it.
+func (b *Balancer) ByHand(now float64, at int, out bool) bool {
+	s := b.server(at)
+	if s.byHand == out {
+		return false
+	}
+	if out {
+		s.byHand, s.handAt, s.wanted = true, now, 0
+		b.say("server %d taken out by hand, %d connections on it", s.ID, s.held)
+		return true
+	}
+	old := *s // its operators vouch for it: what was judged of it is void
+	*s = unknown()
+	s.Listing, s.mark, s.listed = old.Listing, old.mark, old.listed
+	if s.Since < old.handAt { // most likely restarted meanwhile, of which a late list tells nothing yet
+		s.handAt = now
+	}
+	s.held, s.work, s.probing, s.drainAt = old.held, old.work, old.probing, old.drainAt
+	s.wanted = now + backWithin*b.chance()*(1-1/float64(b.Nodes)) // all nodes hear of it in one moment
+	b.say("server %d put back by hand", s.ID)
+	return true
+}
+
+// Avoided gives the length of the list, and how many on it take no new flows now.
+func (b *Balancer) Avoided(now float64) (listed, avoided int) {
+	b.survey(now, false)
+	return len(b.base), len(b.base) - len(b.usable)
+}
+
 // listTime is what all nodes' calls for the whole list may take, within the time in which each has to ask.
 func (b *Balancer) listTime() float64 {
 	return min(float64(b.Nodes*len(b.base))/listPace, b.AskWithin/2)
@@ -521,12 +557,14 @@
 
 // ---- the path ----
 
-// survey rebuilds the usable servers by id: ready, not just full and, if that leaves any, not set aside.
+// survey rebuilds the usable servers by id: ready, not out by hand, not just full and, if that leaves any, not
+// set aside.
 func (b *Balancer) survey(now float64, mid bool) {
 	for _, asideToo := range [2]bool{false, true} {
 		b.usable = b.usable[:0]
 		for _, i := range b.base {
-			if s := &b.servers[i]; s.State == Ready && (asideToo || !s.aside) && (mid || now-s.fullAt >= 1) {
+			if s := &b.servers[i]; s.State == Ready && !s.byHand && (asideToo || !s.aside) &&
+				(mid || now-s.fullAt >= 1) {
 				b.usable = append(b.usable, i)
 			}
 		}
@@ -538,8 +576,9 @@
 
 // warmth is the share of its capacity that a server has at the least by now.
 func (b *Balancer) warmth(now float64, s *server) float64 {
-	age := now - s.Since
-	if s.Since <= 0 || b.ColdFor <= 0 || age >= b.ColdFor {
+	since := max(s.Since, s.handAt)
+	age := now - since
+	if since <= 0 || b.ColdFor <= 0 || age >= b.ColdFor {
 		return 1
 	}
 	return b.ColdFrom + (1-b.ColdFrom)*max(age, 0)/b.ColdFor
@@ -605,6 +644,22 @@
 	return entry, next, full
 }
 
+// returned gives a server put back by hand that no flow has entered since, or -1: all nodes hear of it at once and
+// send one flow each at the most, as far as that keeps to what a cold server bears. Guards against one that
+// stands empty for long where traffic is thin.
+func (b *Balancer) returned(now float64, mean float64) int {
+	for _, at := range b.usable {
+		if s := &b.servers[at]; s.wanted > 0 && now >= s.wanted {
+			s.wanted = 0
+			bears := b.warmth(now, s) * mean * b.FallMultiple / 2 * backWithin / cmp.Or(b.FallFor, 1)
+			if b.chance() < bears {
+				return at
+			}
+		}
+	}
+	return -1
+}
+
 // place walks the design's path and returns a server, or -1.
 func (b *Balancer) place(now float64, f *flow) int {
 	mid := f.midFlow && f.tries == 0
@@ -616,6 +671,11 @@
 	for _, i := range b.usable {
 		mean += float64(b.servers[i].held) / float64(m)
 	}
+	if f.tries == 0 && !mid {
+		if at := b.returned(now, mean); at >= 0 {
+			return at
+		}
+	}
 	entry, next, full := b.enter(f, mid, mean)
 	spare, load := 1.0, b.loadOf(f)
 	if b.overShare(f.tenant) {
@@ -714,6 +774,7 @@
 			f.tries, f.sentAt = f.tries+1, now
 			f.asked = append(f.asked, at)
 			b.servers[at].spent++
+			b.servers[at].wanted = 0
 			return Decision{Do: Connect, Flow: id, Server: at, Within: within}, true
 		}
 	}
@@ -729,7 +790,7 @@
 // What is over by less than one connection counts by chance, so that all nodes together move about what is
 // over.
 func (b *Balancer) over(now float64, s *server) bool {
-	return s.State == Draining && now-s.drainAt > drainWait || s.work > slack*s.ceiling &&
+	return s.byHand || s.State == Draining && now-s.drainAt > drainWait || s.work > slack*s.ceiling &&
 		(s.ceiling >= b.meanLoad() || s.work-s.ceiling > s.round*s.work)
 }
 
@@ -788,7 +849,7 @@
 	for i := range b.servers {
 		s := &b.servers[i]
 		look := b.Probes && (b.Reports || b.Timed && s.held > 0)
-		if !s.aside && !look || s.probing || now < s.probeAt || !s.listed || s.State != Ready {
+		if !s.aside && !look || s.probing || now < s.probeAt || !s.listed || s.State != Ready || s.byHand {
 			continue
 		}
 		s.probeAt = now + probePace*(0.75+0.5*b.chance())
