Upgrade: the clients' door and what is known go from the old process to the new

Need: a second process found the address taken and exited (a crash, 32 connections lost). internal/handover joins the two by a Unix socket in TMPDIR: the listening socket itself, the list, hosts by hand, what is judged of servers, cold windows, loads, ids and where open connections sit; news both ways until one is gone. SO_REUSEPORT is the fallback.

--- a/cmd/gorseledge/main.go
+++ b/cmd/gorseledge/main.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -37,9 +36,6 @@
 	}
 	log = log.With().Str("node", config.Name).Logger()
 	runtime.GOMAXPROCS(max(int(math.Ceil(config.Limits.Cores)), 1))
-	if mb := config.Limits.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(mb << 20 / 10 * 7) // what lies outside the heap needs the rest
-	}
 	asked := sockets.Signals{Leave: leave, Reload: reload}
 	if err := sockets.Run(context.Background(), config, log, asked); err != nil {
 		log.Error().Err(err).Msg("failed")
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -53,7 +53,16 @@
 	Tick struct{}
 	// Leave asks the node to go.
 	Leave struct{}
-	// Asked is a question of the second address, answered by Answer in the same Apply.
+	// Opened says that the door is open.
+	Opened struct{}
+	// Inherited is what the elder leaves when it gives the clients over.
+	Inherited struct{ Legacy *Legacy }
+	// Told is news of the node's other process.
+	Told struct{ News News }
+	// HeirGone and ElderGone say that it is no more.
+	HeirGone  struct{}
+	ElderGone struct{}
+	// Asked is a question of the second address or of an heir, answered by Answer in the same Apply.
 	Asked struct {
 		What Question
 		Host string // by name, where one is meant
@@ -71,8 +80,13 @@
 func (Tick) input()      {}
 func (Leave) input()     {}
 func (Asked) input()     {}
+func (Opened) input()    {}
+func (Inherited) input() {}
+func (Told) input()      {}
+func (HeirGone) input()  {}
+func (ElderGone) input() {}
 
-// Question is what the second address may ask.
+// Question is what the second address or an heir may ask.
 type Question uint8
 
 // The questions.
@@ -81,6 +95,8 @@
 	HowMany                 // the figures
 	TakeOut                 // the host takes nothing new from now on
 	PutBack                 // it does again, if list and module allow it
+	Claim                   // what goes over to an heir; it is told what changes from then on
+	Take                    // the same again: the heir takes the clients from now on
 )
 
 // Effect is one thing that the core asks for.
@@ -126,20 +142,30 @@
 	Answer struct {
 		Yes     bool
 		Figures Figures // of HowMany
+		Legacy  *Legacy // of Claim and Take
 	}
+	// Ready says, once, that clients could be served if the door were open.
+	Ready struct{}
+	// Tell is news for the node's other process, if there is one.
+	Tell struct{ News News }
+	// Shutter ends the accepting of clients, once those who wait are let in.
+	Shutter struct{}
 )
 
-func (Dial) effect()   {}
-func (Read) effect()   {}
-func (Write) effect()  {}
-func (Shut) effect()   {}
-func (Close) effect()  {}
-func (Watch) effect()  {}
-func (Timer) effect()  {}
-func (Note) effect()   {}
-func (Done) effect()   {}
-func (Exit) effect()   {}
-func (Answer) effect() {}
+func (Dial) effect()    {}
+func (Read) effect()    {}
+func (Write) effect()   {}
+func (Shut) effect()    {}
+func (Close) effect()   {}
+func (Watch) effect()   {}
+func (Timer) effect()   {}
+func (Note) effect()    {}
+func (Done) effect()    {}
+func (Exit) effect()    {}
+func (Ready) effect()   {}
+func (Tell) effect()    {}
+func (Shutter) effect() {}
+func (Answer) effect()  {}
 
 // Record is what the log keeps of a client's connection.
 type Record struct {
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -46,6 +46,9 @@
 	if !f.over {
 		f.over = true
 		n.figures.Open--
+		if f.established {
+			n.tellHeir(News{Over: f.opening.ID})
+		}
 	}
 }
 
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -119,6 +119,10 @@
 	}
 	a := placement.Arrival{Type: f.kind, Tenant: tenant, Key: f.opening.Key, Group: f.opening.Group,
 		Left: f.opening.Timeout, Load: f.opening.Load, MidFlow: f.opening.MidFlow, Back: f.opening.Back}
+	if s := n.ids.sits[f.opening.ID]; s != nil {
+		a.On = 1 + s.at
+		n.leaves(s.ID)
+	}
 	if f.opening.At == "" {
 		n.module.Flow(n.now, f.id, a)
 		return
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -11,7 +11,15 @@
 	case HowMany:
 		a.Figures = n.tell()
 	case TakeOut, PutBack:
-		a.Yes = n.byHand(q.Host, q.What == TakeOut)
+		if a.Yes = n.byHand(q.Host, q.What == TakeOut); n.shut {
+			n.calls = append(n.calls, q)
+		}
+	case Claim:
+		n.paired, n.heldTold = true, 0
+		a.Legacy = n.legacy()
+	case Take:
+		n.give()
+		a.Legacy = n.legacy()
 	}
 	n.ask(a)
 }
@@ -22,6 +30,11 @@
 	at, known := n.byName[name]
 	if known && n.module.ByHand(n.now, at, out) {
 		n.ask(Note{fmt.Sprintf("host %s by hand: %s", name, map[bool]string{true: "out", false: "back"}[out])})
+		if out {
+			n.ask(Tell{News{Out: name}})
+		} else {
+			n.ask(Tell{News{Back: name}})
+		}
 	}
 	return known
 }
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -30,7 +30,7 @@
 func (n *Node) used() int { return n.descriptors - n.closing }
 
 // short tells whether few descriptors are left, beside those that are kept for who comes meanwhile.
-func (n *Node) short() bool { return n.used()+1+spareFew > n.limit }
+func (n *Node) short() bool { return n.used()+1+spareFew+n.lent > n.limit }
 
 // relieve ends the idle connection that is oldest, if it has been there for some time, and tells whether it
 // did.
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -48,7 +48,12 @@
 	if held {
 		end = longestHold
 	}
-	if !n.exited && (n.now >= n.leaveAt+end || n.now >= n.leaveAt+stillComing && len(n.conns) == 0) {
+	if !n.shuttered && n.now >= n.leaveAt+stillComing {
+		n.shuttered = true
+		n.ask(Shutter{})
+	}
+	done := len(n.conns) == 0 && (n.given || n.now >= n.leaveAt+stillComing)
+	if !n.exited && (n.now >= n.leaveAt+end || done) {
 		n.exited = true
 		n.ask(Exit{})
 		return
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -30,7 +30,7 @@
 	if !ok {
 		at = len(n.hosts)
 		n.byName[name] = at
-		n.hosts = append(n.hosts, host{name: name})
+		n.hosts = append(n.hosts, host{name: name, told: roster.Host{Name: name, Status: "DELETED"}})
 	}
 	return at
 }
@@ -46,12 +46,19 @@
 
 func (n *Node) list(kind placement.ListKind, l roster.List) {
 	n.index = l.Index
+	if kind != placement.ListChanges {
+		for at := range n.hosts {
+			n.hosts[at].told.Status = "DELETED"
+		}
+	}
 	items := make([]placement.Listing, 0, len(l.Hosts))
 	for _, h := range l.Hosts {
 		at := n.host(h.Name)
 		if h.Address != "" {
 			n.hosts[at].address = h.Address
 		}
+		h.Address = n.hosts[at].address
+		n.hosts[at].told = h
 		state, ok := states[h.Status]
 		if !ok || state == placement.Ready && n.hosts[at].address == "" {
 			state = placement.Draining
@@ -66,8 +73,10 @@
 	n.module.List(n.now, kind, items)
 }
 
-// isReady tells whether the front may send clients: a list was told, or discovery is out and the old one must
-// do.
-func (n *Node) isReady() bool {
+// canServe tells whether clients can be served: a list was told, or discovery is out and the old one must do.
+func (n *Node) canServe() bool {
 	return !n.leaving && (n.heard || n.misses >= 2 && len(n.hosts) > 0)
 }
+
+// isReady tells whether the front may send clients.
+func (n *Node) isReady() bool { return !n.shut && n.canServe() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,11 +17,15 @@
 	Door    rundown.Door
 	Known   roster.List // the list as this node last had it; it may be old
 	Sockets int         // descriptors that its connections may take
+	Toll    int         // descriptors that a process takes beside its connections
+	Shut    bool        // the door is not open yet: Ready asks for it, and Opened says that it is
+	Left    *Legacy     // what an elder has left; nil for none
 }
 
 type host struct {
 	name, address string
-	heard         float64 // when it last said anything
+	told          roster.Host // as it was listed last
+	heard         float64     // when it last said anything
 }
 
 // Node is the whole state of a real node.
@@ -56,13 +60,25 @@
 
 	types, tenants, zones map[string]int
 
-	figures Figures
-	dues    dues
-	wakeAt  float64 // the module's wake
-	timerAt float64 // the timer asked for last
-	leaving bool
-	leaveAt float64 // when it was asked to leave
-	exited  bool
+	figures    Figures
+	dues       dues
+	wakeAt     float64 // the module's wake
+	timerAt    float64 // the timer asked for last
+	shut, able bool    // the door is not open yet; it was said that it may be
+
+	paired   bool // an heir is told what changes here
+	given    bool // it takes the clients
+	sockets  int  // the limit while there is no heir
+	lent     int  // descriptors that an elder holds
+	toll     int
+	heldTold int
+	calls    []Asked // hosts by hand, called here while the elder still has the clients
+	forgetAt float64 // when what an elder held will not come any more
+
+	leaving   bool
+	leaveAt   float64 // when it was asked to leave
+	exited    bool
+	shuttered bool
 }
 
 func places(names []string) map[string]int {
@@ -83,11 +99,14 @@
 		ids: newIDs(), limit: s.Sockets, byName: map[string]int{},
 		probes: probeWords(s.Rundown.Reports), mayProbe: s.Rundown.Probes,
 		types: places(s.Door.Types), tenants: places(s.Door.Tenants), zones: places(s.Door.Zones),
-		wakeAt: math.Inf(1), timerAt: math.Inf(1)}
+		shut: s.Shut, sockets: s.Sockets, toll: s.Toll + flightSpare, wakeAt: math.Inf(1), timerAt: math.Inf(1)}
 	for _, name := range s.Door.Types {
 		n.figures.Types = append(n.figures.Types, Tally{Type: name})
 	}
 	n.list(placement.ListCached, s.Known)
+	if s.Left != nil {
+		n.inherit(s.Left)
+	}
 	return n
 }
 
@@ -102,11 +121,17 @@
 		n.wakeAt = math.Inf(1)
 		n.module.Woken(n.now)
 	}
+	n.forget()
 	n.pull()
 	n.sweep()
 	if n.leaving {
 		n.depart()
 	}
+	if n.shut && !n.able && n.canServe() {
+		n.able = true
+		n.ask(Ready{})
+	}
+	n.tellHeld()
 	if at := n.nextDue(); at != n.timerAt && !math.IsInf(at, 1) {
 		n.timerAt = at
 		n.ask(Timer{at})
@@ -152,6 +177,16 @@
 		n.leave()
 	case Asked:
 		n.asked(in)
+	case Opened:
+		n.shut = false
+	case Inherited:
+		n.inherit(in.Legacy)
+	case Told:
+		n.toldBy(in.News)
+	case HeirGone:
+		n.heirGone()
+	case ElderGone:
+		n.elderGone()
 	case Tick:
 		n.timerAt = math.Inf(1)
 	}
--- a/internal/sockets/config.go
+++ b/internal/sockets/config.go
@@ -93,5 +93,5 @@
 	if c.Admin != "" {
 		own += 1 + c.callers()
 	}
-	return node.Start{Rundown: r, Door: d, Known: known, Sockets: max(limit-own, 2)}, nil
+	return node.Start{Rundown: r, Door: d, Known: known, Sockets: max(limit-own, 2), Toll: own}, nil
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 	"gorseledge/internal/admin"
 	"gorseledge/internal/discovery"
 	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/handover"
 	"gorseledge/internal/node"
 )
 
@@ -44,6 +46,7 @@
 
 // door is the loop's own state.
 type door struct {
+	pair
 	core    *node.Node
 	config  Config
 	log     zerolog.Logger
@@ -58,6 +61,8 @@
 	base    float64
 	timer   *time.Timer
 	answer  chan<- node.Answer // of the question that the core has
+	step    chan struct{}      // for who accepts and was stopped: go on
+	closing atomic.Bool        // or end
 	roster  *discovery.Client
 	unwatch context.CancelFunc
 }
@@ -94,11 +99,24 @@
 	}
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", d.config.Admin)
-	if err != nil {
+	taken := errors.Is(err, syscall.EADDRINUSE)
+	if err != nil && !(taken && d.elder != nil) {
 		return fmt.Errorf("admin_addr: %w", err)
 	}
-	d.log.Info().Str("admin_addr", ln.Addr().String()).Int("callers", d.config.callers()).Msg("second address")
-	d.group.Go(func() error { return admin.Serve(ctx, ln, d.config.callers(), d.ask) })
+	d.group.Go(func() error {
+		for taken { // the elder's, under the same config: its own once that is gone
+			select {
+			case <-time.After(again):
+			case <-ctx.Done():
+				return nil
+			}
+			if ln, err = lc.Listen(ctx, "tcp", d.config.Admin); err == nil {
+				break
+			}
+		}
+		d.log.Info().Str("admin_addr", ln.Addr().String()).Int("callers", d.config.callers()).Msg("second address")
+		return admin.Serve(ctx, ln, d.config.callers(), d.ask)
+	})
 	return nil
 }
 
@@ -114,29 +132,34 @@
 	if err != nil {
 		return err
 	}
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", c.Listen)
+	p, err := pairUp(ctx, c, log)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
+	start.Left, start.Shut = p.left, p.elder != nil || p.ln == nil
 	group, ctx := errgroup.WithContext(ctx)
 	began := time.Now()
-	d := &door{config: c, log: log, group: group, ctx: ctx,
+	d := &door{pair: p, step: make(chan struct{}, 1), config: c, log: log, group: group, ctx: ctx,
 		accepts: make(chan *net.TCPConn), inputs: make(chan any, waiting), asks: make(chan question, c.callers()),
 		links: map[node.Conn]*link{},
 		last:  1, began: began, base: float64(began.UnixNano()) / 1e9, timer: time.NewTimer(0),
 		roster: discovery.New(c.Discovery), unwatch: func() {}}
 	d.core = node.New(d.now(), start)
 	if err := d.second(ctx); err != nil {
-		ln.Close()
+		d.part()
 		return err
 	}
-	log.Info().Str("listen", ln.Addr().String()).Int("sockets", start.Sockets).Msg("started")
-	group.Go(func() error { return d.accept(ln.(*net.TCPListener)) })
-	group.Go(func() error {
-		defer ln.Close()
-		return d.loop(asked.Leave)
-	})
+	listen := c.Listen
+	if p.ln != nil {
+		listen = p.ln.Addr().String()
+	}
+	log.Info().Str("listen", listen).Int("sockets", start.Sockets).Bool("elder", start.Shut).Msg("started")
+	limitMemory(c.Limits.MemoryMB, start.Shut)
+	if p.elder != nil {
+		d.attend(p.elder)
+	}
+	d.mayOpen = !start.Shut
+	group.Go(func() error { return d.loop(asked.Leave) })
 	group.Go(func() error { return d.reread(asked.Reload) })
 	if err := group.Wait(); !errors.Is(err, errDone) {
 		return err
@@ -165,6 +188,15 @@
 			case <-d.ctx.Done():
 				socket.Close()
 			}
+		case errors.Is(err, os.ErrDeadlineExceeded): // paused, or to end
+			if d.closing.Load() {
+				return ln.Close()
+			}
+			select {
+			case <-d.step:
+			case <-d.ctx.Done():
+				return nil
+			}
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		default: // no descriptor for now, or the client is gone already
@@ -218,8 +250,16 @@
 		for _, l := range d.links {
 			l.close(false)
 		}
+		d.part()
 	}()
 	for {
+		if d.mayOpen {
+			d.mayOpen = false
+			d.letIn()
+			if !d.apply(node.Opened{}) {
+				return errDone
+			}
+		}
 		var in node.Input
 		accepts := d.accepts
 		if len(d.inputs) > 0 { // guards against a crowd at the door being let in before those inside are heard
@@ -245,14 +285,22 @@
 		if in == nil {
 			continue
 		}
-		for _, e := range d.core.Apply(d.now(), in) {
-			if !d.perform(e) {
-				return errDone
-			}
+		if !d.apply(in) {
+			return errDone
 		}
 	}
 }
 
+// apply gives one input to the core and carries out what it asks for; false says that nothing is left to do.
+func (d *door) apply(in node.Input) bool {
+	for _, e := range d.core.Apply(d.now(), in) {
+		if !d.perform(e) {
+			return false
+		}
+	}
+	return true
+}
+
 // arrived takes the sockets out of what goroutines hand in.
 func (d *door) arrived(what any) node.Input {
 	switch what := what.(type) {
@@ -275,6 +323,14 @@
 		return node.Unlisted{Why: what.why}
 	case reloaded:
 		return d.reload(what.config, what.err)
+	case fromTwin:
+		return d.hear(what)
+	case bound:
+		if what.ln != nil {
+			d.ln = what.ln
+		}
+		d.mayOpen = !d.opened
+		return nil
 	}
 	return what.(node.Input)
 }
@@ -318,7 +374,18 @@
 			Int("connects", r.Connects).Float64("setup_s", round(r.Setup)).Float64("lasted_s", round(r.Lasted)).
 			Uint64("up", r.Up).Uint64("down", r.Down).Msg("ended")
 	case node.Answer:
-		d.answer <- e
+		if e.Legacy != nil {
+			d.heir.post(letter{Message: handover.Message{Legacy: e.Legacy}, door: d.passes()})
+		} else {
+			d.answer <- e
+		}
+	case node.Tell:
+		d.elder.post(letter{Message: handover.Message{News: &e.News}})
+		d.heir.post(letter{Message: handover.Message{News: &e.News}})
+	case node.Ready:
+		d.open()
+	case node.Shutter:
+		d.shutter()
 	case node.Exit:
 		return false
 	}
--- /dev/null
+++ b/internal/sockets/twin.go
@@ -0,0 +1,379 @@
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gorseledge/internal/handover"
+	"gorseledge/internal/node"
+)
+
+const (
+	claimWithin = 500 * time.Millisecond // for an elder to answer; without that the node serves all the same
+	claimFor    = 3 * time.Second        // where the elder is handing over to another already
+	again       = 100 * time.Millisecond // between tries
+	lastLook    = time.Millisecond       // at who waits at the door, before it is closed
+	newsWaiting = 1024                   // messages that may wait for the other process
+	reusePort   = 15                     // SO_REUSEPORT, which package syscall does not name on this system
+)
+
+// pair is what joins this process with the one before it and the one after it.
+type pair struct {
+	path        string // where an heir finds this process; empty for nowhere
+	ln          *net.TCPListener
+	elder, heir *twin
+	left        *node.Legacy
+	offered     *net.UnixListener
+	mayOpen     bool // let clients in, before the next input
+	able        bool // the core could serve
+	opened      bool
+	given       bool // the heir has the clients
+}
+
+// twin is the node's other process.
+type twin struct {
+	link *handover.Link
+	out  chan letter
+}
+
+// letter is a message, with the clients' door where that goes along.
+type letter struct {
+	handover.Message
+	door *net.TCPListener
+}
+
+// fromTwin brings to the loop what the other process said, or that it is gone; bound a door of this process's own,
+// or that none is waited for any longer.
+type (
+	fromTwin struct {
+		*twin
+		said handover.Message
+		gone error
+	}
+	bound struct{ ln *net.TCPListener }
+)
+
+func newTwin(link *handover.Link) *twin { return &twin{link, make(chan letter, newsWaiting)} }
+
+// post sends a message, in order. Guards against a twin that does not read: it is given up, and holds nobody up.
+func (t *twin) post(m letter) {
+	if t == nil {
+		return
+	}
+	select {
+	case t.out <- m:
+	default:
+		t.link.Close()
+	}
+}
+
+// pairUp gives the door of a node's first process, or what its elder hands over, or neither: then the address is
+// an elder's that hands over nothing.
+func pairUp(ctx context.Context, c Config, log zerolog.Logger) (pair, error) {
+	p := pair{}
+	if dir := os.Getenv("TMPDIR"); c.Admin != "" && dir != "" {
+		p.path = handover.Path(dir, c.Listen)
+		p.claims(ctx, log)
+	}
+	if p.elder != nil {
+		return p, nil
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", c.Listen)
+	switch {
+	case err == nil:
+		p.ln = ln.(*net.TCPListener)
+		if c.Admin != "" {
+			share(p.ln) // so that a later version may come beside this one, whatever becomes of the hand-over
+		}
+	case c.Admin != "" && errors.Is(err, syscall.EADDRINUSE):
+		log.Warn().Str("listen", c.Listen).Msg("another process has the address and hands nothing over")
+	default:
+		return p, fmt.Errorf("listen: %w", err)
+	}
+	return p, nil
+}
+
+// claims asks the process that serves for the clients' door and for what it knows. Whatever fails, the node goes
+// on without.
+func (p *pair) claims(ctx context.Context, log zerolog.Logger) {
+	for end := time.Now().Add(claimFor); ; {
+		err := p.claim(ctx)
+		switch {
+		case err == nil:
+			log.Info().Int("hosts", len(p.left.Hosts)).Int("connections", len(p.left.Sits)).Bool("heard", p.left.Heard).
+				Msg("claimed from the elder")
+			return
+		case errors.Is(err, fs.ErrNotExist), errors.Is(err, syscall.ECONNREFUSED): // nobody, or only a stale socket
+			return
+		case errors.Is(err, errBusy) && time.Now().Before(end) && ctx.Err() == nil:
+			time.Sleep(again)
+			continue
+		}
+		log.Warn().Err(err).Msg("nothing handed over")
+		return
+	}
+}
+
+var errBusy = errors.New("the elder is busy")
+
+func (p *pair) claim(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, claimWithin)
+	defer cancel()
+	link, err := handover.Reach(ctx, p.path)
+	if err != nil {
+		return err
+	}
+	link.Within(claimWithin)
+	err = link.Send(handover.Message{Ask: handover.Claim})
+	var m handover.Message
+	if err == nil {
+		m, err = link.Receive()
+	}
+	switch {
+	case err != nil:
+	case m.No == handover.Busy:
+		err = errBusy
+	case m.Legacy == nil:
+		err = fmt.Errorf("the elder said no: %s", m.No)
+	default:
+		if p.ln, err = link.Listener(); err == nil {
+			link.Within(0)
+			p.left, p.elder = m.Legacy, newTwin(link)
+			return nil
+		}
+	}
+	link.Close()
+	return err
+}
+
+// share lets another process of this user listen on the same address.
+func share(ln syscall.Conn) {
+	if raw, err := ln.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1) })
+	}
+}
+
+// beside listens on an address that another process has, as soon as that one shares it or is gone.
+func beside(ctx context.Context, address string) *net.TCPListener {
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1) })
+	}}
+	for ctx.Err() == nil {
+		if ln, err := lc.Listen(ctx, "tcp", address); err == nil {
+			return ln.(*net.TCPListener)
+		}
+		select {
+		case <-time.After(again):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// open opens the door of a process that can serve: with the elder's word, if there is one, so that the two do not
+// take clients at once.
+func (d *door) open() {
+	d.able = true
+	switch {
+	case d.elder != nil:
+		d.elder.post(letter{Message: handover.Message{Ask: handover.Take}})
+		d.group.Go(func() error { // an elder that hangs keeps nobody out
+			select {
+			case <-time.After(claimWithin):
+				d.send(bound{})
+			case <-d.ctx.Done():
+			}
+			return nil
+		})
+	case d.ln != nil:
+		d.mayOpen = true
+	default:
+		d.group.Go(func() error {
+			if ln := beside(d.ctx, d.config.Listen); ln != nil {
+				d.send(bound{ln})
+			}
+			return nil
+		})
+	}
+}
+
+// letIn begins to accept clients, and to be found by an heir.
+func (d *door) letIn() {
+	d.opened = true
+	ln := d.ln
+	d.group.Go(func() error { return d.accept(ln) })
+	d.offer()
+}
+
+// offer lets an heir find this process. Where that cannot be, a later version comes beside it all the same.
+func (d *door) offer() {
+	if d.path == "" {
+		return
+	}
+	if d.offered != nil {
+		d.offered.Close()
+	}
+	ln, err := handover.Offer(d.path)
+	if d.offered = ln; err != nil {
+		d.offered = nil
+		d.log.Warn().Err(err).Msg("no hand-over to a later version")
+		return
+	}
+	d.group.Go(func() error {
+		for {
+			conn, err := ln.AcceptUnix()
+			if err != nil {
+				return nil
+			}
+			if link, err := handover.Join(conn); err == nil {
+				link.Within(claimWithin)
+				d.attend(newTwin(link))
+			}
+		}
+	})
+}
+
+// attend reads and writes a twin until one side is gone.
+func (d *door) attend(t *twin) {
+	stop := context.AfterFunc(d.ctx, t.link.Close)
+	ended := make(chan struct{})
+	d.group.Go(func() error {
+		for {
+			select {
+			case m := <-t.out:
+				err := error(nil)
+				if m.door != nil {
+					err = t.link.Pass(m.door)
+				}
+				if errors.Join(err, t.link.Send(m.Message)) != nil {
+					t.link.Close()
+				}
+			case <-ended:
+				return nil
+			}
+		}
+	})
+	d.group.Go(func() error {
+		defer stop()
+		defer close(ended)
+		defer t.link.Close()
+		for {
+			m, err := t.link.Receive()
+			if err != nil {
+				d.send(fromTwin{twin: t, gone: err})
+				return nil
+			}
+			t.link.Within(0)
+			d.send(fromTwin{twin: t, said: m})
+		}
+	})
+}
+
+// hear takes what a twin says, in the order in which it said it.
+func (d *door) hear(w fromTwin) node.Input {
+	switch {
+	case w.gone != nil:
+		return d.gone(w.twin, w.gone)
+	case w.said.News != nil && (w.twin == d.elder || w.twin == d.heir):
+		return node.Told{News: *w.said.News}
+	case w.said.Legacy != nil && w.twin == d.elder && !d.opened:
+		d.mayOpen = true
+		return node.Inherited{Legacy: w.said.Legacy}
+	case w.said.Ask == handover.Claim && (d.heir != nil || !d.opened):
+		w.post(letter{Message: handover.Message{No: handover.Busy}})
+	case w.said.Ask == handover.Claim:
+		d.heir = w.twin
+		limitMemory(d.config.Limits.MemoryMB, true)
+		return node.Asked{What: node.Claim}
+	case w.said.Ask == handover.Take && w.twin == d.heir:
+		d.given = true
+		d.ln.SetDeadline(time.Unix(1, 0)) // who waits is the heir's
+		return node.Asked{What: node.Take}
+	}
+	return nil
+}
+
+// passes gives the door for the first of what an heir is sent.
+func (d *door) passes() *net.TCPListener {
+	if d.given {
+		return nil
+	}
+	return d.ln
+}
+
+func (d *door) gone(t *twin, why error) node.Input {
+	defer func() { limitMemory(d.config.Limits.MemoryMB, d.elder != nil || d.heir != nil) }()
+	switch t {
+	case d.elder:
+		d.elder = nil
+		d.log.Info().AnErr("why", why).Msg("the elder's end of the hand-over is closed")
+		d.mayOpen = d.able && !d.opened
+		return node.ElderGone{}
+	case d.heir:
+		d.heir = nil
+		d.log.Info().AnErr("why", why).Msg("the heir's end of the hand-over is closed")
+		if d.given {
+			d.given = false
+			d.ln.SetDeadline(time.Time{})
+			d.nudge()
+			d.offer()
+		}
+		return node.HeirGone{}
+	}
+	return nil
+}
+
+// shutter ends the accepting of clients: who waits is let in, and then the door is closed at once.
+func (d *door) shutter() {
+	if d.config.Admin == "" || !d.opened || d.given {
+		return
+	}
+	d.closing.Store(true)
+	d.ln.SetDeadline(time.Now().Add(lastLook))
+	d.nudge()
+}
+
+func (d *door) nudge() {
+	select {
+	case d.step <- struct{}{}:
+	default:
+	}
+}
+
+// part ends what joins the processes.
+func (d *door) part() {
+	if d.ln != nil {
+		d.ln.Close()
+	}
+	if d.offered != nil {
+		d.offered.Close()
+		if !d.given { // guards against an heir's being taken away
+			os.Remove(d.path)
+		}
+	}
+	if d.elder != nil {
+		d.elder.link.Close()
+	}
+}
+
+// limitMemory sets the soft limit: what lies outside the heap needs the rest, and another process half of all.
+func limitMemory(mb int64, two bool) {
+	if mb <= 0 {
+		return
+	}
+	limit := mb << 20 / 10 * 7
+	if two {
+		limit /= 2
+	}
+	debug.SetMemoryLimit(limit)
+}
--- /dev/null
+++ b/placement/legacy.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"maps"
+	"math"
+)
+
+// Standing is what a balancer has learned of one server and leaves to its successor. Times are the clock's.
+type Standing struct {
+	Ceiling                         float64 // 0 for none
+	CutAt, ToldAt, DrainAt          float64
+	JamAt, FullAt                   float64
+	Bad, Good, Hold, ProbeAt, Least float64
+	Aside, ByHand                   bool
+	HandAt, Wanted                  float64
+	Answers                         int
+	Round, Spent, Luck, WindowFrom  float64
+}
+
+// Legacy is what a balancer leaves to its successor beside the list: nothing in it names a flow.
+type Legacy struct {
+	Servers        []Standing // by the door's index
+	Typical        []float64
+	Setups         []float64
+	Loads          map[uint64]float64 // by client key
+	Gate, GateAt   float64            // 0 for an open gate
+	Least          float64
+	Scarce, Strain float64
+}
+
+func finite(x float64) float64 {
+	if math.IsInf(x, 1) {
+		return 0
+	}
+	return x
+}
+
+func infinite(x float64) float64 {
+	if x <= 0 {
+		return math.Inf(1)
+	}
+	return x
+}
+
+// Legacy gives what a successor is left. Nothing in it is shared with this balancer.
+func (b *Balancer) Legacy() Legacy {
+	l := Legacy{Typical: append([]float64(nil), b.typical...), Setups: append([]float64(nil), b.setups[:]...),
+		Loads: map[uint64]float64{}, Gate: finite(b.gate), GateAt: b.gateAt, Least: b.least, Scarce: b.scarce, Strain: b.strain}
+	maps.Copy(l.Loads, b.older)
+	maps.Copy(l.Loads, b.loads)
+	for i := range b.servers {
+		s := &b.servers[i]
+		l.Servers = append(l.Servers, Standing{Ceiling: finite(s.ceiling), CutAt: s.cutAt,
+			ToldAt: s.toldAt, DrainAt: s.drainAt, JamAt: s.jamAt, FullAt: s.fullAt, Bad: s.bad, Good: s.good, Hold: s.hold,
+			ProbeAt: s.probeAt, Least: s.least, Aside: s.aside, ByHand: s.byHand, HandAt: s.handAt, Wanted: s.wanted,
+			Answers: s.answers, Round: s.round, Spent: s.spent, Luck: s.luck, WindowFrom: s.windowFrom})
+	}
+	return l
+}
+
+// Inherit takes what a predecessor has left, in place of what is known. It is called before any flow comes, after
+// the list was told; the servers go by this balancer's own indices.
+func (b *Balancer) Inherit(l Legacy) {
+	if len(l.Typical) == len(b.typical) { // the settings may have changed with the version
+		copy(b.typical, l.Typical)
+	}
+	if len(l.Setups) == len(b.setups) {
+		copy(b.setups[:], l.Setups)
+	}
+	b.loads = map[uint64]float64{}
+	maps.Copy(b.loads, l.Loads)
+	b.gate, b.gateAt, b.least = infinite(l.Gate), l.GateAt, l.Least
+	b.scarce, b.strain = min(max(l.Scarce, 0), 1), min(max(l.Strain, 0), 1)
+	for i, t := range l.Servers {
+		s := b.server(i)
+		s.ceiling, s.cutAt, s.toldAt, s.drainAt = infinite(t.Ceiling), t.CutAt, t.ToldAt, t.DrainAt
+		s.jamAt, s.fullAt, s.bad, s.good, s.hold = t.JamAt, t.FullAt, max(t.Bad, 0), max(t.Good, 0), max(t.Hold, firstHold)
+		s.probeAt, s.least, s.aside, s.answers = t.ProbeAt, t.Least, t.Aside, t.Answers
+		s.byHand, s.handAt, s.wanted = t.ByHand, t.HandAt, t.Wanted
+		s.round, s.spent, s.luck, s.windowFrom = t.Round, t.Spent, t.Luck, t.WindowFrom
+	}
+}
+
+// Elsewhere takes connections that the node's other process holds at a server, or holds no more: they count like
+// this one's own.
+func (b *Balancer) Elsewhere(at, count int, load float64) {
+	s := b.server(at)
+	s.held += count
+	s.work += load
+}
+
+// Give says that a successor takes the flows from now on, and with them the budgets of cold servers: this one
+// has none until it is said otherwise.
+func (b *Balancer) Give(given bool) { b.given = given }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -67,6 +67,7 @@
 	live, owed           bool    // the index is in use; a final answer is due
 	out, open            bool    // a connect is out, or the connection it became; established
 	midFlow, moved, back bool    // back: its last connection broke or was moved
+	on                   int     // server that holds a mid-flow connection, where it is known; -1 else
 	due, sentAt          float64 // the final answer goes out before due
 	load                 float64
 	at, ranOn, tries     int     // at: server of the current connect or connection, -1 before the first
@@ -98,6 +99,7 @@
 	blind           float64            // 1 for a node that holds nothing, near 0 for one that holds many a server
 	strain          float64            // chance that a flow goes to its group's home at once, by what was seen of jams
 	out, atHome     int                // connects out; open connections at their group's home less those at their primary
+	given           bool               // a successor takes the flows
 	follows, jammed bool               // a subscription stands or is asked for; the last line on jams said so
 	askAt, askGap   float64            // when to ask for the list (again)
 }
@@ -240,7 +242,7 @@
 	// Without a client key the group stands in for it, and without a group chance.
 	key := cmp.Or(a.Key, a.Group, math.Float64bits(b.chance()))
 	b.flows[id] = flow{live: true, kind: min(max(a.Type, 0), len(b.Types)-1),
-		tenant: min(max(a.Tenant, 0), len(b.Quotas)), ca: mix(key), midFlow: a.MidFlow, back: a.Back,
+		tenant: min(max(a.Tenant, 0), len(b.Quotas)), ca: mix(key), midFlow: a.MidFlow, back: a.Back, on: a.On - 1,
 		load: max(a.Load, 0), side: -1, at: -1, ranAt: -1, asked: b.flows[id].asked[:0]}
 	if a.Group != 0 {
 		b.flows[id].home = mix(a.Group)
@@ -590,6 +592,9 @@
 	if warm >= 1 {
 		return true
 	}
+	if b.given { // guards against a budget spent by two processes of one node
+		return false
+	}
 	if now-s.windowFrom >= b.FallFor {
 		s.windowFrom, s.spent, s.luck = now, 0, b.chance()
 	}
@@ -628,6 +633,9 @@
 		entry = int(f.ca % uint64(m))
 	}
 	next, full, f.side = entry+1, max(spillFloor, spillFactor*mean), -1
+	if on := slices.Index(b.usable, f.on); mid && on >= 0 {
+		return on, on + 1, full
+	}
 	if f.home == 0 {
 		return entry, next, full
 	}
--- a/placement/types.go
+++ b/placement/types.go
@@ -84,6 +84,7 @@
 	Left         float64 // until the connect timeout
 	Load         float64 // expected load, 0 where not told
 	MidFlow      bool    // an open connection whose packets now come here
+	On           int     // 1 + the server that holds it, where the predecessor has told; 0 else
 	Back         bool    // the client comes again after a break or a move
 }
 
