Upgrade: open connections go over to the new process with their descriptors

Cause: connections left to the old process came again mid-flow in one instant at its end; hosts set them all up anew and said that messages are late, and the node answered with moves and rejects. Each open connection is quiesced, sent as two descriptors and a parcel, and goes on at the heir.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -47,6 +47,7 @@
 	No      string       `json:"no,omitempty"` // why it is refused
 	Legacy  *node.Legacy `json:"legacy,omitempty"`
 	News    *node.News   `json:"news,omitempty"`
+	Parcel  *node.Parcel `json:"parcel,omitempty"` // comes with two sockets, the client's first
 }
 
 // Path is where the process that serves an address is found.
@@ -200,33 +201,44 @@
 	return err
 }
 
-// Pass sends a listening socket; it comes with the message that follows.
-func (l *Link) Pass(ln *net.TCPListener) error {
-	raw, err := ln.SyscallConn()
+// Pass sends sockets, at most two; they come with the message that follows.
+func (l *Link) Pass(all ...syscall.Conn) error {
+	return l.pass(nil, all)
+}
+
+func (l *Link) pass(fds []int, all []syscall.Conn) error {
+	if len(all) == 0 {
+		l.conn.SetWriteDeadline(time.Now().Add(sendWithin))
+		_, _, err := l.conn.WriteMsgUnix([]byte("\n"), syscall.UnixRights(fds...), nil)
+		return err
+	}
+	raw, err := all[0].SyscallConn()
 	if err != nil {
 		return err
 	}
-	l.conn.SetWriteDeadline(time.Now().Add(sendWithin))
 	var failed error
 	err = raw.Control(func(fd uintptr) { // its mode stays as it is, which a copy would change for both processes
-		_, _, failed = l.conn.WriteMsgUnix([]byte("\n"), syscall.UnixRights(int(fd)), nil)
+		failed = l.pass(append(fds, int(fd)), all[1:])
 	})
 	return errors.Join(err, failed)
 }
 
-// Listener gives the listening socket that came.
-func (l *Link) Listener() (*net.TCPListener, error) {
+// file takes the first of the descriptors that came.
+func (l *Link) file() (*os.File, error) {
 	if len(l.passed) == 0 {
-		return nil, errors.New("no listening socket came")
+		return nil, errors.New("a descriptor has not come")
 	}
-	defer func() {
-		for _, fd := range l.passed {
-			syscall.Close(fd)
-		}
-		l.passed = nil
-	}()
-	file := os.NewFile(uintptr(l.passed[0]), "listener")
+	file := os.NewFile(uintptr(l.passed[0]), "passed")
 	l.passed = l.passed[1:]
+	return file, nil
+}
+
+// Listener gives the listening socket that came.
+func (l *Link) Listener() (*net.TCPListener, error) {
+	file, err := l.file()
+	if err != nil {
+		return nil, err
+	}
 	defer file.Close()
 	ln, err := net.FileListener(file)
 	if err != nil {
@@ -239,3 +251,30 @@
 	}
 	return tcp, nil
 }
+
+// Conn gives the next connection that came.
+func (l *Link) Conn() (*net.TCPConn, error) {
+	file, err := l.file()
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	c, err := net.FileConn(file)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		c.Close()
+		return nil, errors.New("what came is no TCP connection")
+	}
+	return tcp, nil
+}
+
+// Drop closes what came and was not taken.
+func (l *Link) Drop() {
+	for _, fd := range l.passed {
+		syscall.Close(fd)
+	}
+	l.passed = nil
+}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -87,7 +87,7 @@
 
 // read asks for more from c if there is room for it.
 func (n *Node) read(c *conn) {
-	if !c.up || c.reading || c.closed || c.ended != Open {
+	if !c.up || c.reading || c.closed || c.ended != Open || c.flow != nil && c.flow.lifting {
 		return
 	}
 	if c.in == nil {
--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -89,6 +89,9 @@
 			n.module.Established(f.id, f.try, n.now-f.sentAt)
 		}
 		n.scan(f.client)
+		if n.given {
+			n.lift(f)
+		}
 		return true
 	}
 	switch word {
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -59,6 +59,16 @@
 	Inherited struct{ Legacy *Legacy }
 	// Told is news of the node's other process.
 	Told struct{ News News }
+	// Adopted is an open connection of the elder's, under the number of a client's; its host's is asked for by Own.
+	Adopted struct {
+		Conn   Conn
+		Parcel *Parcel
+	}
+	// Passed is the result of a Pass.
+	Passed struct {
+		Conn Conn
+		OK   bool
+	}
 	// HeirGone and ElderGone say that it is no more.
 	HeirGone  struct{}
 	ElderGone struct{}
@@ -83,6 +93,8 @@
 func (Opened) input()    {}
 func (Inherited) input() {}
 func (Told) input()      {}
+func (Adopted) input()   {}
+func (Passed) input()    {}
 func (HeirGone) input()  {}
 func (ElderGone) input() {}
 
@@ -144,6 +156,15 @@
 		Figures Figures // of HowMany
 		Legacy  *Legacy // of Claim and Take
 	}
+	// Halt ends the read under way with what it has, if anything.
+	Halt struct{ Conn Conn }
+	// Pass sends a client's connection and its host's to the heir, answered by Passed.
+	Pass struct {
+		Conn, Host Conn
+		Parcel     *Parcel
+	}
+	// Own gives the host's connection that was adopted with a client's its number.
+	Own struct{ Conn, With Conn }
 	// Ready says, once, that clients could be served if the door were open.
 	Ready struct{}
 	// Tell is news for the node's other process, if there is one.
@@ -162,6 +183,9 @@
 func (Note) effect()    {}
 func (Done) effect()    {}
 func (Exit) effect()    {}
+func (Halt) effect()    {}
+func (Pass) effect()    {}
+func (Own) effect()     {}
 func (Ready) effect()   {}
 func (Tell) effect()    {}
 func (Shutter) effect() {}
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -26,6 +26,8 @@
 	sent         bool // its line is written to the last byte
 	established  bool
 	over         bool
+	lifting      bool      // goes over to an heir: nothing more is read
+	passing      bool      // is on its way
 	last         line.Word // what the host said before its end
 	sentAt       float64
 	setup        float64
@@ -105,14 +107,31 @@
 		return
 	}
 	n.taken()
+	c.flow = f
+	n.place(f)
+	a := n.arrival(f)
+	if f.opening.At == "" {
+		n.module.Flow(n.now, f.id, a)
+		return
+	}
+	f.carried = true
+	n.module.Carried(n.now, f.id, a, at)
+	n.connect(f, at, f.opening.Timeout)
+}
+
+// place gives a flow its index.
+func (n *Node) place(f *flow) {
 	if free := len(n.free); free > 0 {
 		f.id, n.free = n.free[free-1], n.free[:free-1]
 		n.flows[f.id] = f
 	} else {
 		f.id, n.flows = len(n.flows), append(n.flows, f)
 	}
-	c.flow = f
 	n.ids.begin(f)
+}
+
+// arrival is what the module is told of a flow. One that sits at the elder is the elder's no more.
+func (n *Node) arrival(f *flow) placement.Arrival {
 	tenant, known := n.tenants[f.opening.Tenant]
 	if !known {
 		tenant = len(n.door.Tenants) // a member without a share
@@ -123,13 +142,7 @@
 		a.On = 1 + s.at
 		n.leaves(s.ID)
 	}
-	if f.opening.At == "" {
-		n.module.Flow(n.now, f.id, a)
-		return
-	}
-	f.carried = true
-	n.module.Carried(n.now, f.id, a, at)
-	n.connect(f, at, f.opening.Timeout)
+	return a
 }
 
 // answer says the last words to a client that is not established and ends its connection.
@@ -152,7 +165,7 @@
 // move tells an established client to come again and ends both sides. What the host said in whole lines goes
 // first.
 func (n *Node) move(f *flow, why Reason, how placement.Outcome) {
-	if !f.established || f.over {
+	if !f.established || f.over || f.passing { // what is on its way is the heir's to move
 		return
 	}
 	n.close(f.host, false)
--- a/internal/node/legacy.go
+++ b/internal/node/legacy.go
@@ -143,6 +143,11 @@
 	n.limit = min(n.limit, n.used()+n.lent+spareFew+1+flightSpare)
 	n.module.Give(true)
 	n.ask(Note{fmt.Sprintf("an heir takes the clients: %d descriptors held", n.used())})
+	for _, f := range n.flows {
+		if f != nil {
+			n.lift(f)
+		}
+	}
 }
 
 // heirGone takes them back, unless this process was asked to leave.
@@ -151,6 +156,11 @@
 		return
 	}
 	n.given, n.limit = false, n.sockets
+	for _, f := range n.lifts {
+		if !f.passing { // what is on its way comes back by itself
+			n.unlift(f)
+		}
+	}
 	n.module.Give(false)
 	n.ask(Note{"the heir is gone"})
 }
--- /dev/null
+++ b/internal/node/lift.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"gorseledge/internal/line"
+	"gorseledge/internal/ring"
+	"gorseledge/placement"
+)
+
+const mostPassing = 8 // open connections that are on their way to the heir at once: both processes hold them then
+
+// Parcel is an open connection as it goes over to the heir, beside its two descriptors.
+type Parcel struct {
+	First      string // the client's first line
+	Host       string
+	Up, Down   []byte // read from the client and from the host, and not yet passed on: less than a line
+	Waits      []float64
+	Load       float64
+	Setup      float64
+	Since      float64
+	Sent, Back uint64 // bytes passed on to the host and to the client
+}
+
+// lift begins to hand an open connection to the heir: nothing more is read of it, and what is read goes out first.
+func (n *Node) lift(f *flow) {
+	if f.lifting || !f.established || f.over {
+		return
+	}
+	f.lifting = true
+	n.lifts = append(n.lifts, f)
+	for _, c := range []*conn{f.client, f.host} {
+		if c.reading {
+			n.ask(Halt{c.id})
+		}
+	}
+}
+
+// still tells whether nothing is under way on a connection, and nothing of it is left to be passed on.
+func (c *conn) still() bool {
+	return c.up && !c.reading && c.writing == 0 && c.ready == 0 && len(c.own) == 0 && !c.closed
+}
+
+// liftOn sends on what is ready to go, a few at a time. Whose end has begun meanwhile ends here.
+func (n *Node) liftOn() {
+	left := n.lifts[:0]
+	for _, f := range n.lifts {
+		c, h := f.client, f.host
+		switch {
+		case f.passing:
+		case !f.lifting:
+			continue
+		case f.over || c.ended != Open || h.ended != Open || c.finish != Open || h.finish != Open || f.last != line.Other:
+			n.unlift(f)
+			continue
+		case n.passing < mostPassing && c.still() && h.still():
+			f.passing = true
+			n.passing++
+			c.calm()
+			h.calm()
+			n.ask(Pass{c.id, h.id, &Parcel{First: string(f.first), Host: n.hosts[f.on].name, Up: c.in.Append(nil, 0, c.in.Len()),
+				Down: h.in.Append(nil, 0, h.in.Len()), Waits: f.waits, Load: f.load, Setup: f.setup, Since: c.since,
+				Sent: h.passed, Back: c.passed}})
+		}
+		left = append(left, f)
+	}
+	n.lifts = left
+}
+
+// unlift goes on with a connection here.
+func (n *Node) unlift(f *flow) {
+	f.lifting = false
+	for _, c := range []*conn{f.client, f.host} {
+		n.read(c)
+	}
+	if !f.over && len(f.waits) > 0 {
+		n.wait(f.host, max(f.waits[0]+quietAfter-n.now, 0))
+	}
+}
+
+// passed takes the news that a connection is the heir's, or that it could not be sent.
+func (n *Node) passed(c *conn, ok bool) {
+	f := c.flow
+	f.passing = false
+	n.passing--
+	if !ok {
+		n.unlift(f)
+		return
+	}
+	f.lifting = false
+	n.figures.Open--
+	f.over, f.out = true, false
+	n.module.Ended(n.now, f.id, f.try, placement.CalledOff, true)
+	n.touched = append(n.touched, f.id)
+	c.reason = HandedOver
+	n.close(f.host, false)
+	n.close(c, false)
+}
+
+// adopt goes on with an open connection of the elder's.
+func (n *Node) adopt(id Conn, p *Parcel) {
+	c := n.newConn(id, client)
+	c.up, c.heard, c.since, c.passed = true, true, p.Since, p.Back
+	n.dialed += 2
+	h := n.newConn(n.dialed, server)
+	h.up, h.host, h.passed = true, n.host(p.Host), p.Sent
+	n.ask(Own{Conn: h.id, With: id})
+	n.lent = max(n.lent-2, 0)
+	o, err := line.ParseOpening([]byte(p.First))
+	kind, known := n.types[o.Type]
+	if err != nil || !known || len(p.Up) > ringSize || len(p.Down) > ringSize { // the settings changed with the version
+		c.reason = UnknownType
+		n.close(h, true)
+		n.close(c, true)
+		return
+	}
+	f := &flow{client: c, host: h, kind: kind, opening: o, first: []byte(p.First), on: h.host, out: true, sent: true,
+		established: true, setup: p.Setup, load: p.Load, waits: p.Waits}
+	c.flow, h.flow = f, f
+	c.in, h.in = filled(p.Up), filled(p.Down)
+	n.place(f)
+	n.figures.Open++
+	a := n.arrival(f)
+	n.module.Carried(n.now, f.id, a, f.on)
+	if f.load > 0 {
+		n.module.LoadNote(f.id, f.load)
+	}
+	n.tellHeir(News{Sits: n.sitting(f)})
+	if len(f.waits) > 0 {
+		n.wait(h, max(f.waits[0]+quietAfter-n.now, 0))
+	}
+	n.scan(c)
+	n.scan(h)
+	n.read(c)
+	n.read(h)
+	if n.given {
+		n.lift(f)
+	}
+}
+
+func filled(with []byte) *ring.Ring {
+	r := ring.New(ringSize)
+	r.Fill(copy(r.Space(), with))
+	return r
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,8 @@
 	lent     int  // descriptors that an elder holds
 	toll     int
 	heldTold int
+	lifts    []*flow // that go over to the heir
+	passing  int     // of these are on their way
 	calls    []Asked // hosts by hand, called here while the elder still has the clients
 	forgetAt float64 // when what an elder held will not come any more
 
@@ -131,6 +133,7 @@
 		n.able = true
 		n.ask(Ready{})
 	}
+	n.liftOn()
 	n.tellHeld()
 	if at := n.nextDue(); at != n.timerAt && !math.IsInf(at, 1) {
 		n.timerAt = at
@@ -183,6 +186,12 @@
 		n.inherit(in.Legacy)
 	case Told:
 		n.toldBy(in.News)
+	case Adopted:
+		n.adopt(in.Conn, in.Parcel)
+	case Passed:
+		if c := n.conns[in.Conn]; c != nil {
+			n.passed(c, in.OK)
+		}
 	case HeirGone:
 		n.heirGone()
 	case ElderGone:
--- a/internal/node/reasons.go
+++ b/internal/node/reasons.go
@@ -28,5 +28,6 @@
 	NoSockets    Reason = "no-sockets"    // too few descriptors are left
 	NoLine       Reason = "no-line"       // no line came in time
 	Checked      Reason = "checked"       // a connection that only asked whether the node is ready
+	HandedOver   Reason = "handed-over"   // an open connection goes on at the process that takes this one's place
 	Leaving      Reason = "leaving"       // came or was still there while the node leaves
 )
--- a/internal/sockets/link.go
+++ b/internal/sockets/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	socket        *net.TCPConn // nil while it is dialed
 	cancel        context.CancelFunc
 	reads, writes chan []byte
+	halted        bool // its reads end at once
 }
 
 // link starts the two goroutines of a connection that is up. The descriptor is free once both are done.
@@ -49,7 +51,7 @@
 
 func endOf(err error) node.End {
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded): // halted
 		return node.Open
 	case errors.Is(err, io.EOF):
 		return node.Ended
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -260,6 +260,11 @@
 				return errDone
 			}
 		}
+		for ; len(d.unpassed) > 0; d.unpassed = d.unpassed[1:] {
+			if !d.apply(node.Passed{Conn: d.unpassed[0]}) {
+				return errDone
+			}
+		}
 		var in node.Input
 		accepts := d.accepts
 		if len(d.inputs) > 0 { // guards against a crowd at the door being let in before those inside are heard
@@ -350,7 +355,12 @@
 func (d *door) perform(e node.Effect) bool {
 	switch e := e.(type) {
 	case node.Read:
-		d.links[e.Conn].reads <- e.Into
+		l := d.links[e.Conn]
+		if l.halted {
+			l.halted = false
+			l.socket.SetReadDeadline(time.Time{})
+		}
+		l.reads <- e.Into
 	case node.Write:
 		d.links[e.Conn].writes <- e.Data
 	case node.Dial:
@@ -382,6 +392,15 @@
 	case node.Tell:
 		d.elder.post(letter{Message: handover.Message{News: &e.News}})
 		d.heir.post(letter{Message: handover.Message{News: &e.News}})
+	case node.Halt:
+		l := d.links[e.Conn]
+		l.halted = true
+		l.socket.SetReadDeadline(time.Unix(1, 0))
+	case node.Pass:
+		d.pass(e)
+	case node.Own:
+		d.link(e.Conn, d.adopted)
+		d.adopted = nil
 	case node.Ready:
 		d.open()
 	case node.Shutter:
--- a/internal/sockets/twin.go
+++ b/internal/sockets/twin.go
@@ -36,7 +36,9 @@
 	mayOpen     bool // let clients in, before the next input
 	able        bool // the core could serve
 	opened      bool
-	given       bool // the heir has the clients
+	adopted     *net.TCPConn // host's side of the connection that the core adopts now
+	unpassed    []node.Conn  // that could not even be posted
+	given       bool         // the heir has the clients
 }
 
 // twin is the node's other process.
@@ -48,7 +50,9 @@
 // letter is a message, with the clients' door where that goes along.
 type letter struct {
 	handover.Message
-	door *net.TCPListener
+	door         *net.TCPListener
+	conn         node.Conn // of a parcel, with its two sockets
+	client, host *net.TCPConn
 }
 
 // fromTwin brings to the loop what the other process said, or that it is gone; bound a door of this process's own,
@@ -56,8 +60,9 @@
 type (
 	fromTwin struct {
 		*twin
-		said handover.Message
-		gone error
+		said         handover.Message
+		gone         error
+		client, host *net.TCPConn // with a parcel
 	}
 	bound struct{ ln *net.TCPListener }
 )
@@ -243,6 +248,35 @@
 	})
 }
 
+// send writes a message with what goes along.
+func (t *twin) send(m letter) error {
+	var err error
+	switch {
+	case m.door != nil:
+		err = t.link.Pass(m.door)
+	case m.Parcel != nil:
+		err = t.link.Pass(m.client, m.host)
+	}
+	if err == nil {
+		err = t.link.Send(m.Message)
+	}
+	return err
+}
+
+// receive reads a message with what came along.
+func (t *twin) receive() (w fromTwin, err error) {
+	w.twin = t
+	if w.said, err = t.link.Receive(); err != nil || w.said.Parcel == nil {
+		return w, err
+	}
+	if w.client, err = t.link.Conn(); err == nil {
+		if w.host, err = t.link.Conn(); err != nil {
+			w.client.Close()
+		}
+	}
+	return w, err
+}
+
 // attend reads and writes a twin until one side is gone.
 func (d *door) attend(t *twin) {
 	stop := context.AfterFunc(d.ctx, t.link.Close)
@@ -251,13 +285,13 @@
 		for {
 			select {
 			case m := <-t.out:
-				err := error(nil)
-				if m.door != nil {
-					err = t.link.Pass(m.door)
-				}
-				if errors.Join(err, t.link.Send(m.Message)) != nil {
+				err := t.send(m)
+				if err != nil {
 					t.link.Close()
 				}
+				if m.Parcel != nil {
+					d.send(node.Passed{Conn: m.conn, OK: err == nil})
+				}
 			case <-ended:
 				return nil
 			}
@@ -266,15 +300,16 @@
 	d.group.Go(func() error {
 		defer stop()
 		defer close(ended)
+		defer t.link.Drop()
 		defer t.link.Close()
 		for {
-			m, err := t.link.Receive()
+			w, err := t.receive()
 			if err != nil {
 				d.send(fromTwin{twin: t, gone: err})
 				return nil
 			}
 			t.link.Within(0)
-			d.send(fromTwin{twin: t, said: m})
+			d.send(w)
 		}
 	})
 }
@@ -289,6 +324,8 @@
 	case w.said.Legacy != nil && w.twin == d.elder && !d.opened:
 		d.mayOpen = true
 		return node.Inherited{Legacy: w.said.Legacy}
+	case w.said.Parcel != nil:
+		return d.adopt(w)
 	case w.said.Ask == handover.Claim && (d.heir != nil || !d.opened):
 		w.post(letter{Message: handover.Message{No: handover.Busy}})
 	case w.said.Ask == handover.Claim:
@@ -303,6 +340,33 @@
 	return nil
 }
 
+// adopt takes an open connection of the elder's.
+func (d *door) adopt(w fromTwin) node.Input {
+	if w.twin != d.elder {
+		w.client.Close()
+		w.host.Close()
+		return nil
+	}
+	d.last += 2
+	d.link(d.last, w.client)
+	d.adopted = w.host
+	return node.Adopted{Conn: d.last, Parcel: w.said.Parcel}
+}
+
+// pass sends an open connection to the heir.
+func (d *door) pass(e node.Pass) {
+	m := letter{Message: handover.Message{Parcel: e.Parcel}, conn: e.Conn, client: d.links[e.Conn].socket,
+		host: d.links[e.Host].socket}
+	if d.heir != nil {
+		select {
+		case d.heir.out <- m:
+			return
+		default:
+		}
+	}
+	d.unpassed = append(d.unpassed, e.Conn)
+}
+
 // passes gives the door for the first of what an heir is sent.
 func (d *door) passes() *net.TCPListener {
 	if d.given {
@@ -321,6 +385,11 @@
 		return node.ElderGone{}
 	case d.heir:
 		d.heir = nil
+		for len(t.out) > 0 { // what was posted too late to be sent stays here
+			if m := <-t.out; m.Parcel != nil {
+				d.unpassed = append(d.unpassed, m.conn)
+			}
+		}
 		d.log.Info().AnErr("why", why).Msg("the heir's end of the hand-over is closed")
 		if d.given {
 			d.given = false
