--- a/cmd/gorseledge/main_test.go
+++ b/cmd/gorseledge/main_test.go
@@ -53,6 +53,9 @@
 	left    chan bool   // the watch there has ended
 	path    string      // of the config
 	config  map[string]any
+	sockets int
+	admin   string // the second address; empty for none
+	dir     string // TMPDIR; empty for none
 }
 
 type lockedBuffer struct {
@@ -83,7 +86,14 @@
 
 // start starts the program with that many hosts and waits until it is ready.
 func start(t *testing.T, mode string, hosts, sockets int) *stage {
-	s := &stage{T: t, log: &lockedBuffer{}, tell: make(chan string, 4)}
+	s := &stage{T: t}
+	s.begin(mode, hosts, sockets)
+	return s
+}
+
+func (s *stage) begin(mode string, hosts, sockets int) {
+	t := s.T
+	s.log, s.tell, s.sockets = &lockedBuffer{}, make(chan string, 4), sockets
 	list := `{"index":1,"snapshot":true,"endpoints":[`
 	for i := range hosts {
 		s.hosts = append(s.hosts, listen(t))
@@ -91,9 +101,7 @@
 			100+i, s.hosts[i].Addr()), map[bool]string{true: ","}[i == 0])
 	}
 	s.tell <- list + "]}\n"
-	free := listen(t)
-	s.address = free.Addr().String()
-	free.Close()
+	s.address = freeAddress(t)
 	address, left := discovery(t, s.tell)
 	s.left = left
 	s.config = map[string]any{
@@ -105,27 +113,23 @@
 				"max_retry_after_us": 2000000, "retry_after": true},
 			"service_types": []any{map[string]any{"name": "chat", "effect": "repeatable", "give_up_us": 900000}},
 		}}
+	if s.admin != "" {
+		s.config["admin_addr"] = s.admin
+	}
 	s.path = filepath.Join(t.TempDir(), "config.json")
 	s.configure()
-	s.node = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", sockets, program))
-	s.node.Env = append(os.Environ(), "LB_CONFIG="+s.path)
-	s.node.Stderr = s.log
-	if err := s.node.Start(); err != nil {
-		t.Fatal(err)
-	}
 	t.Cleanup(func() {
-		s.node.Process.Kill()
-		s.node.Wait()
 		if strings.Contains(s.log.text(), "DATA RACE") || t.Failed() {
 			t.Errorf("log:\n%s", s.log.text())
 		}
 	})
+	s.launch()
 	for end := time.Now().Add(patience); ; {
 		if c, err := net.Dial("tcp", s.address); err == nil {
 			p := s.peer(c)
 			if p.say("PING\r\n"); p.line() == "PONG" {
 				c.Close()
-				return s
+				return
 			}
 			c.Close()
 		}
@@ -135,14 +139,38 @@
 	}
 }
 
+// launch starts a process of the node.
+func (s *stage) launch(env ...string) {
+	s.Helper()
+	node := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", s.sockets, program))
+	node.Env = append(os.Environ(), "LB_CONFIG="+s.path, "TMPDIR="+s.dir)
+	node.Env = append(node.Env, env...)
+	node.Stderr = s.log
+	if err := node.Start(); err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() {
+		node.Process.Kill()
+		node.Wait()
+	})
+	s.node = node
+}
+
 // discovery tells whoever watches what comes through the channel; gone says that a watch was given up.
 func discovery(t *testing.T, tell <-chan string) (address string, gone chan bool) {
 	gone = make(chan bool, 16)
+	var whole atomic.Value // told first to whoever comes later
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if text, told := whole.Load().(string); told {
+			io.WriteString(w, text)
+		}
 		w.(http.Flusher).Flush()
 		for {
 			select {
 			case text := <-tell:
+				if strings.Contains(text, `"snapshot":true`) {
+					whole.Store(text)
+				}
 				io.WriteString(w, text)
 			case <-time.After(time.Second):
 				io.WriteString(w, "\n")
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -166,7 +166,7 @@
 			}
 		}
 	}
-	return n, err
+	return max(n, 0), err
 }
 
 // Receive gives the next message.
--- a/internal/node/figures_test.go
+++ b/internal/node/figures_test.go
@@ -8,13 +8,12 @@
 
 func (w *world) asks(q Question, host string) Answer {
 	w.Helper()
-	for _, e := range w.n.Apply(w.now, Asked{q, host}) {
-		if a, ok := e.(Answer); ok {
-			return a
-		}
+	w.answer = Answer{Figures: Figures{Taken: -1}}
+	w.do(Asked{q, host})
+	if w.answer.Figures.Taken < 0 {
+		w.Fatal("no answer")
 	}
-	w.Fatal("no answer")
-	return Answer{}
+	return w.answer
 }
 
 // balanced checks what must hold of the figures after any input.
--- a/internal/node/flow.go
+++ b/internal/node/flow.go
@@ -26,6 +26,7 @@
 	sent         bool // its line is written to the last byte
 	established  bool
 	over         bool
+	liftAt       float64
 	lifting      bool      // goes over to an heir: nothing more is read
 	passing      bool      // is on its way
 	last         line.Word // what the host said before its end
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -27,6 +27,16 @@
 // late tells whether it is too late for a leaving node to begin a flow.
 func (n *Node) late() bool { return n.leaving && n.now >= n.leaveAt+n.stay()-lastWords }
 
+// alone tells whether no connection is left but probes, which nobody needs any more.
+func (n *Node) alone() bool {
+	for _, c := range n.conns {
+		if c.role != probe {
+			return false
+		}
+	}
+	return true
+}
+
 // depart goes on with it until nothing is left or it is time to exit. Where packets pass through, connections
 // are held, as they outlive the node: until it is killed, as an exit of its own ends them. Elsewhere their
 // clients are moved, also those established meanwhile.
@@ -52,7 +62,7 @@
 		n.shuttered = true
 		n.ask(Shutter{})
 	}
-	done := len(n.conns) == 0 && (n.given || n.now >= n.leaveAt+stillComing)
+	done := n.alone() && (n.given || n.now >= n.leaveAt+stillComing)
 	if !n.exited && (n.now >= n.leaveAt+end || done) {
 		n.exited = true
 		n.ask(Exit{})
--- /dev/null
+++ b/internal/node/legacy_test.go
@@ -0,0 +1,381 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/rundown"
+)
+
+// heir makes a process that takes over from w; what goes over crosses as JSON.
+func (w *world) heir(mode string) *world {
+	w.Helper()
+	r, d, err := rundown.Read(fmt.Appendf(nil, settings, mode), 8)
+	if err != nil {
+		w.Fatal(err)
+	}
+	h := newWorld(w.T, mode, 0, 100)
+	h.now, h.accepts, h.watches = w.now, 1001, nil
+	h.n = New(h.now, Start{Rundown: r, Door: d, Sockets: w.n.sockets, Toll: 20, Shut: true, Left: crossed(w, w.asks(Claim, "").Legacy)})
+	h.do(Tick{})
+	return h
+}
+
+func crossed[T any](w *world, in T) (out T) {
+	w.Helper()
+	text, err := json.Marshal(in)
+	if err == nil {
+		err = json.Unmarshal(text, &out)
+	}
+	if err != nil {
+		w.Fatal(err)
+	}
+	return out
+}
+
+// take has an heir take the clients.
+func (w *world) takenBy(h *world) {
+	w.Helper()
+	h.do(Inherited{crossed(w, w.asks(Take, "").Legacy)})
+	h.do(Opened{})
+}
+
+// carry brings what was passed and told from w to h, or back where it is lost; names gives each connection's
+// number at h.
+func (w *world) carry(h *world, lost bool) (names map[Conn]Conn) {
+	w.Helper()
+	names = map[Conn]Conn{}
+	for ; len(w.passes) > 0; w.passes = w.passes[1:] {
+		p := w.passes[0]
+		if w.reads[p.Conn] != nil || w.reads[p.Host] != nil {
+			w.Fatal("passed a connection that is still read")
+		}
+		if !lost {
+			h.accepts += 2
+			h.how[h.n.dialed+2] = ""
+			h.do(Adopted{h.accepts, crossed(w, p.Parcel)})
+			names[p.Conn], names[p.Host] = h.accepts, h.owned.Conn
+		}
+		w.do(Passed{p.Conn, !lost})
+	}
+	for ; len(w.news) > 0; w.news = w.news[1:] {
+		h.do(Told{crossed(w, w.news[0])})
+	}
+	return names
+}
+
+// An open connection goes over in the middle of lines, and nothing of it is lost, repeated or out of order.
+func TestLift(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		up, down         string // said before
+		upRest, downRest string // and after
+	}{
+		{"quiet", "", "", "M 1\r\n", "M 2\r\n"},
+		{"half a line each", "M 1\r\nM", "M 2\r\nLOA", " 3\r\n", "D 5\r\n"},
+		{"the end of a line cut", "M 1\r", "M 2\r", "\nM 3\r\n", "\n"},
+		{"nearly too long", strings.Repeat("x", 4000), strings.Repeat("y", 4000), "z\r\n", "z\r\n"},
+	} {
+		w := newWorld(t, "pass", 2, 100)
+		client, host := w.established(chat)
+		first := len(w.said[host])
+		w.say(client, c.up, Open)
+		w.say(host, c.down, Open)
+		h := w.heir("pass")
+		w.takenBy(h)
+		names := w.carry(h, false)
+		if len(names) != 2 || !w.n.alone() {
+			t.Fatalf("%s: %d passed, %d left", c.name, len(names), len(w.n.conns))
+		}
+		if w.how[client] != "closed" || w.how[host] != "closed" {
+			t.Errorf("%s: at the elder they are %s and %s", c.name, w.how[client], w.how[host])
+		}
+		h.say(names[client], c.upRest, Open)
+		h.say(names[host], c.downRest, Open)
+		if got, want := w.said[host][first:]+h.said[names[host]], c.up+c.upRest; got != want {
+			t.Errorf("%s: the host got %.80q, wanted %.80q", c.name, got, want)
+		}
+		if got, want := w.said[client]+h.said[names[client]], "UP 77\r\n"+c.down+c.downRest; got != want {
+			t.Errorf("%s: the client got %.80q, wanted %.80q", c.name, got, want)
+		}
+		w.balanced()
+		if f := h.balanced(); f.Open != 1 || f.Taken != 0 {
+			t.Errorf("%s: the heir tells of %+v", c.name, f)
+		}
+		h.say(names[client], "", Ended)
+		h.say(names[host], "", Ended)
+		w.nothingLeft()
+		h.nothingLeft()
+	}
+}
+
+// What cannot go over stays and goes on where it is: it is ending, it is blocked, it was not sent, or the heir is
+// gone.
+func TestNotLifted(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		do    func(w *world, client, host Conn)
+		lost  bool
+		stays bool
+	}{
+		{"not sent", func(*world, Conn, Conn) {}, true, true},
+		{"its client has ended", func(w *world, client, _ Conn) { w.say(client, "", Ended) }, false, true},
+		{"its host says that it ends", func(w *world, _, host Conn) { w.say(host, "BYE\r\n", Open) }, false, true},
+		{"its client takes nothing", func(w *world, client, host Conn) {
+			w.stalled[client] = true
+			w.say(host, "M 1\r\n", Open)
+		}, false, true},
+		{"nothing in the way", func(*world, Conn, Conn) {}, false, false},
+	} {
+		w := newWorld(t, "pass", 1, 100)
+		client, host := w.established(chat)
+		c.do(w, client, host)
+		h := w.heir("pass")
+		w.takenBy(h)
+		names := w.carry(h, c.lost)
+		if stays := len(names) == 0; stays != c.stays {
+			t.Errorf("%s: passed %v", c.name, names)
+			continue
+		}
+		if !c.stays {
+			continue
+		}
+		w.do(HeirGone{}) // and the heir with it: the elder takes clients again
+		before := len(w.dials)
+		if w.come("b2 c=chat,t=acme,d=2000"); len(w.dials) == before {
+			t.Errorf("%s: the elder places nobody", c.name)
+		}
+		w.say(w.up(), "UP 2\r\n", Open)
+		w.stalled = map[Conn]bool{}
+		for _, held := range w.held {
+			w.said[held.Conn] += "M 1\r\n"
+			w.do(held)
+		}
+		if w.reads[host] != nil && w.how[host] == "" {
+			w.say(host, "M 9\r\nBYE\r\n", Open)
+			w.say(host, "", Ended)
+			if !strings.HasSuffix(w.said[client], "M 9\r\nBYE\r\n") {
+				t.Errorf("%s: the client got %q", c.name, w.said[client])
+			}
+		}
+		w.balanced()
+	}
+}
+
+// A flow in flight is answered where it was taken, and follows once it is established.
+func TestInFlight(t *testing.T) {
+	w := newWorld(t, "pass", 1, 100)
+	client := w.come(chat)
+	h := w.heir("pass")
+	w.takenBy(h)
+	w.say(w.up(), "UP 5\r\n", Open)
+	if w.said[client] != "UP 5\r\n" {
+		t.Fatalf("told %q", w.said[client])
+	}
+	if names := w.carry(h, false); len(names) != 2 || h.n.balance() != 1 {
+		t.Fatalf("passed %v", names)
+	}
+	w.do(Leave{})
+	if !w.exited {
+		t.Error("nothing is left, and it stays")
+	}
+}
+
+func (n *Node) balance() int { return n.figures.Open }
+
+// What two processes that are one node know of each other.
+func TestOneNode(t *testing.T) {
+	stuck := func(t *testing.T) (w, h *world, client Conn) { // its connection stays at the elder
+		w = newWorld(t, "pass", 3, 100)
+		client, host := w.established("a1 c=chat,t=acme,d=2000")
+		w.stalled[client] = true
+		w.say(host, "M 1\r\n", Open)
+		w.asks(TakeOut, "s-00000066")
+		h = w.heir("pass")
+		w.takenBy(h)
+		w.carry(h, false)
+		return w, h, client
+	}
+	id := func(c Conn) string { return fmt.Sprintf("OPEN %x ", 0x1000+c) }
+	for _, c := range []struct {
+		name string
+		do   func(t *testing.T, w, h *world, client Conn)
+	}{
+		{"ready at once, from the elder's list", func(t *testing.T, w, h *world, _ Conn) {
+			if !h.asks(IsReady, "").Yes || h.ready != 1 || len(h.watches) > 1 || len(h.watches) == 1 && h.watches[0] != 6 {
+				t.Errorf("ready said %d times, watches %v", h.ready, h.watches)
+			}
+		}},
+		{"hosts out stay out", func(t *testing.T, w, h *world, _ Conn) {
+			if f := h.asks(HowMany, "").Figures; f.Listed != 3 || f.Avoided != 1 {
+				t.Errorf("%d listed, %d avoided", f.Listed, f.Avoided)
+			}
+		}},
+		{"a call at the heir reaches the elder", func(t *testing.T, w, h *world, _ Conn) {
+			h.asks(PutBack, "s-00000066")
+			h.asks(TakeOut, "s-00000065")
+			h.carry(w, false)
+			if a, b := w.n.tell().Avoided, h.n.tell().Avoided; a != 1 || b != 1 || len(w.news) == 0 {
+				t.Errorf("%d and %d avoided, %v", a, b, w.news)
+			}
+		}},
+		{"a call at the elder reaches the heir, and comes to rest", func(t *testing.T, w, h *world, _ Conn) {
+			w.asks(TakeOut, "s-00000065")
+			w.carry(h, false)
+			h.carry(w, false)
+			w.carry(h, false)
+			if a, b := w.n.tell().Avoided, h.n.tell().Avoided; a != 2 || b != 2 || len(w.news)+len(h.news) != 0 {
+				t.Errorf("%d and %d avoided, %v %v", a, b, w.news, h.news)
+			}
+		}},
+		{"the id of a flow at the elder is refused", func(t *testing.T, w, h *world, client Conn) {
+			c := h.accept()
+			h.say(c, id(client)+"b2 c=chat,d=900\r\n", Open)
+			if h.said[c] != "BUSY\r\n" {
+				t.Errorf("told %q", h.said[c])
+			}
+		}},
+		{"packets that come by the heir find their host", func(t *testing.T, w, h *world, client Conn) {
+			at := w.address[w.dials[0]]
+			for try, line := range []string{id(client) + "a1 c=chat,t=acme,d=900,mid=1\r\n", id(client) + "a1 c=chat,t=acme,d=900,mid=1\r\n"} {
+				h.say(h.accept(), line, Open)
+				if got := h.address[h.dials[try]]; got != at {
+					t.Errorf("sent to %s, it sits at %s", got, at)
+				}
+				if len(h.n.ids.sits) != 0 {
+					t.Error("it still sits at the elder")
+				}
+			}
+		}},
+		{"what the elder holds counts against the limit, until it is gone", func(t *testing.T, w, h *world, _ Conn) {
+			if h.n.lent != w.n.used()+20+flightSpare || w.n.used() < 2 {
+				t.Errorf("%d lent, %d held", h.n.lent, w.n.used())
+			}
+			if h.do(ElderGone{}); h.n.lent != 0 {
+				t.Errorf("%d lent by nobody", h.n.lent)
+			}
+		}},
+		{"connections that did not come are forgotten in time", func(t *testing.T, w, h *world, _ Conn) {
+			h.do(ElderGone{})
+			if h.pass(sitsFor / 2); len(h.n.ids.sits) != 1 {
+				t.Error("forgotten too soon")
+			}
+			if h.pass(sitsFor); len(h.n.ids.sits) != 0 {
+				t.Error("not forgotten")
+			}
+		}},
+		{"the end of one at the elder is told", func(t *testing.T, w, h *world, client Conn) {
+			w.pass(1) // what does not go out is not waited for
+			w.say(client, "", Broken)
+			if w.carry(h, false); len(h.n.ids.sits) != 0 {
+				t.Error("it still sits there")
+			}
+			c := h.accept()
+			h.say(c, id(client)+"b2 c=chat,d=900\r\n", Open)
+			if h.said[c] != "BUSY\r\n" {
+				t.Errorf("its id is free for others: %q", h.said[c])
+			}
+		}},
+		{"a third process learns all of both", func(t *testing.T, w, h *world, client Conn) {
+			h.asks(TakeOut, "s-00000064")
+			third := h.heir("pass")
+			h.takenBy(third)
+			h.carry(third, false)
+			if third.n.tell().Avoided != 2 || third.n.ids.sits[strings.Fields(id(client))[1]] == nil {
+				t.Errorf("%+v, %v", third.n.tell(), third.n.ids.sits)
+			}
+		}},
+		{"an heir that is gone gives the clients back", func(t *testing.T, w, h *world, _ Conn) {
+			if w.do(HeirGone{}); w.n.limit != 100 || w.n.given {
+				t.Errorf("limit %d, given %v", w.n.limit, w.n.given)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w, h, client := stuck(t)
+			c.do(t, w, h, client)
+		})
+	}
+}
+
+// A call that crosses with the elder's word is not undone by it.
+func TestCallsCross(t *testing.T) {
+	w := newWorld(t, "pass", 3, 100)
+	h := w.heir("pass")
+	late := w.asks(Take, "").Legacy // said before the call below
+	h.asks(TakeOut, "s-00000065")
+	h.do(Inherited{crossed(w, late)})
+	if h.n.tell().Avoided != 1 {
+		t.Error("put back by what the elder had said before")
+	}
+}
+
+// An heir of a node that had no list yet waits for its own.
+func TestHeirWithoutList(t *testing.T) {
+	w := newWorld(t, "pass", 0, 100)
+	w.n.heard = false
+	h := w.heir("pass")
+	if h.ready != 0 || h.asks(IsReady, "").Yes {
+		t.Fatal("ready without a list")
+	}
+	if h.do(Listed{hostList(2)}); h.ready != 1 || h.asks(IsReady, "").Yes {
+		t.Fatal("could not serve, or was ready before its door was open")
+	}
+	if h.do(Opened{}); !h.asks(IsReady, "").Yes {
+		t.Fatal("not ready")
+	}
+}
+
+// Both together never send a cold host more than the one would have: the elder has no part of it any more.
+func TestColdBudgetIsShared(t *testing.T) {
+	w := newWorld(t, "pass", 0, 1000)
+	w.do(Listed{roster.List{Index: 9, Whole: true, Hosts: []roster.Host{{Name: "s-00000064", Address: "h0", Status: "SERVING",
+		Since: (w.now - 1) * 1e3}}}})
+	w.n.module.ColdFor, w.n.module.ColdFrom, w.n.module.FallFor, w.n.module.FallMultiple = 100, 0.1, 1000, 2
+	h := w.heir("pass")
+	h.n.module.ColdFor, h.n.module.ColdFrom, h.n.module.FallFor, h.n.module.FallMultiple = 100, 0.1, 1000, 2
+	for range 40 {
+		w.come("a1 c=chat,d=900")
+	}
+	spent := len(w.dials)
+	w.takenBy(h)
+	for range 40 {
+		w.come("a1 c=chat,d=900")
+		h.come("a1 c=chat,d=900")
+	}
+	if spent == 0 || len(w.dials) != spent || len(h.dials) != 0 {
+		t.Errorf("%d connects before; after it %d at the elder, %d at the heir", spent, len(w.dials)-spent, len(h.dials))
+	}
+}
+
+// Hand-overs at any moment of random sequences: figures add up at both, and nothing is left of either.
+func TestUpgradeAnyTime(t *testing.T) {
+	for seed := range uint64(120) {
+		chance := rand.New(rand.NewPCG(seed, 2))
+		w := newWorld(t, "pass", 3, 100)
+		shuffle(w, chance, 60)
+		h := w.heir("pass")
+		shuffle(w, chance, 10)
+		w.takenBy(h)
+		for range 10 {
+			shuffle(w, chance, 4)
+			w.carry(h, chance.IntN(3) == 0)
+			shuffle(h, chance, 4)
+			h.carry(w, false)
+		}
+		w.do(Leave{})
+		for range 5 {
+			w.pass(0.5)
+			w.carry(h, false)
+			h.now = w.now
+			h.do(Tick{})
+			w.balanced()
+			h.balanced()
+		}
+		h.do(ElderGone{})
+	}
+}
--- a/internal/node/lift.go
+++ b/internal/node/lift.go
@@ -6,7 +6,10 @@
 	"gorseledge/placement"
 )
 
-const mostPassing = 8 // open connections that are on their way to the heir at once: both processes hold them then
+const (
+	mostPassing = 8   // open connections that are on their way to the heir at once: both processes hold them then
+	liftWithin  = 0.5 // for what was read to go out; a far side that takes nothing keeps its connection here
+)
 
 // Parcel is an open connection as it goes over to the heir, beside its two descriptors.
 type Parcel struct {
@@ -25,7 +28,7 @@
 	if f.lifting || !f.established || f.over {
 		return
 	}
-	f.lifting = true
+	f.lifting, f.liftAt = true, n.now
 	n.lifts = append(n.lifts, f)
 	for _, c := range []*conn{f.client, f.host} {
 		if c.reading {
@@ -51,6 +54,9 @@
 		case f.over || c.ended != Open || h.ended != Open || c.finish != Open || h.finish != Open || f.last != line.Other:
 			n.unlift(f)
 			continue
+		case n.now-f.liftAt > liftWithin && n.passing < mostPassing && !(c.still() && h.still()):
+			n.unlift(f) // guards against an end that is never seen, as nothing is read any more
+			continue
 		case n.passing < mostPassing && c.still() && h.still():
 			f.passing = true
 			n.passing++
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -38,6 +38,11 @@
 	held    []Wrote
 	accepts Conn
 	exited  bool
+	answer  Answer
+	news    []News
+	ready   int
+	passes  []Pass
+	owned   Own
 }
 
 func newWorld(t *testing.T, mode string, hosts, sockets int) *world {
@@ -108,6 +113,22 @@
 				w.records = append(w.records, e.Record)
 			case Exit:
 				w.exited = true
+			case Answer:
+				w.answer = e
+			case Tell:
+				w.news = append(w.news, e.News)
+			case Ready:
+				w.ready++
+			case Halt:
+				if w.reads[e.Conn] == nil {
+					w.Fatal("halted a connection that is not read")
+				}
+				delete(w.reads, e.Conn)
+				todo = append(todo, Got{e.Conn, 0, Open})
+			case Pass:
+				w.passes = append(w.passes, e)
+			case Own:
+				w.owned = e
 			}
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -857,7 +857,8 @@
 	for i := range b.servers {
 		s := &b.servers[i]
 		look := b.Probes && (b.Reports || b.Timed && s.held > 0)
-		if !s.aside && !look || s.probing || now < s.probeAt || !s.listed || s.State != Ready || s.byHand {
+		if !s.aside && !look || s.probing || now < s.probeAt || !s.listed || s.State != Ready ||
+			s.byHand || b.given {
 			continue
 		}
 		s.probeAt = now + probePace*(0.75+0.5*b.chance())
