--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,6 +20,7 @@
 	spillFactor = 1.25 // the least the design allows
 	spillFloor  = 2    // the design's floor: below it counts are chance
 	reportLife  = 4    // two or three reports missed
+	bearsFade   = 60.0 // for what a server was seen to bear
 	jamHold     = 1.5  // a delay note comes once a second while it holds
 	beat        = 0.25 // pace of housekeeping; finer than any hold below
 	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
@@ -98,6 +99,7 @@
 	tight           float64            // share of the servers holding connections of this node that were slow of late
 	blind           float64            // 1 for a node that holds nothing, near 0 for one that holds many a server
 	strain          float64            // chance that a flow goes to its group's home at once, by what was seen of jams
+	bears           float64            // mean held by a server, the most of late: jams and drops lower what is held now
 	out, atHome     int                // connects out; open connections at their group's home less those at their primary
 	given           bool               // a successor takes the flows
 	follows, jammed bool               // a subscription stands or is asked for; the last line on jams said so
@@ -532,12 +534,14 @@
 // look raises the ceilings and takes stock of jams. A ceiling that is dropped once its server is empty lets
 // all nodes rush in together and jam it again.
 func (b *Balancer) look(now float64) {
-	holding, tight, held := 0.0, 0.0, 0.0
+	holding, tight, held, usual := 0.0, 0.0, 0.0, b.bears*b.meanLoad()
 	for i := range b.servers {
 		s := &b.servers[i]
 		s.moves = 0
 		if now-s.cutAt > jamHold && now-s.toldAt > b.believed() {
-			s.ceiling *= 1.02
+			// Guards against one lowered when next to nothing was known of the loads there, after a restart or a
+			// hand-over: rising by parts of itself it turned flows away for half a minute after the jam.
+			s.ceiling += 0.02 * max(s.ceiling, usual)
 		}
 		if s.held > 0 {
 			holding++
@@ -549,7 +553,8 @@
 	}
 	b.tight = tight / max(holding, 1)
 	b.strain += beat * (strainRise*b.tight*(1-b.strain) - b.strain/strainFade)
-	b.blind = 1 / (1 + held/max(float64(len(b.base)), 1))
+	held /= max(float64(len(b.base)), 1)
+	b.blind, b.bears = 1/(1+held), max(b.bears*(1-beat/bearsFade), held)
 	if b.jammed && b.tight+b.scarce < 0.1 || !b.jammed && b.tight+b.scarce > 0.5 {
 		b.jammed = !b.jammed
 		b.say("jammed: %v, %.0f of %.0f servers in use slow, %.0f%% of flows without room, %.0f%% sent home",
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -570,6 +570,24 @@
 	}
 }
 
+// A ceiling that was set on next to nothing, as the loads there were not known, does not keep flows out for long
+// where servers are seen to bear much more; it still does for the first seconds.
+func TestLowCeilingRises(t *testing.T) {
+	g := newRig(3, nil)
+	g.fill(0, 30)
+	for id := range g.flows {
+		g.LoadNote(id, 0.1)
+	}
+	g.pass(1)
+	g.servers[20].work, g.servers[20].ceiling, g.servers[20].cutAt = 0.02, 0.02, g.now
+	if g.pass(3); g.servers[20].ceiling > 0.4 {
+		t.Fatalf("ceiling %g after 3 s: open to a rush", g.servers[20].ceiling)
+	}
+	if g.pass(9); g.servers[20].ceiling < 0.5 {
+		t.Fatalf("ceiling %g after 12 s, where servers bear 1", g.servers[20].ceiling)
+	}
+}
+
 // Where most find no room, a gap too small for the heaviest service type is not given to light flows alone.
 func TestScarceRoom(t *testing.T) {
 	for _, c := range []struct {
