A cold server's part and the rise of a ceiling are reckoned by the members' shares

Cause: a node's part of a cold budget went by what it holds now, which sinks in a jam and after a restart, just when the cold ones are needed. The shares in the settings tell what a server bears, and shrink for nobody.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -20,7 +20,6 @@
 	spillFactor = 1.25 // the least the design allows
 	spillFloor  = 2    // the design's floor: below it counts are chance
 	reportLife  = 4    // two or three reports missed
-	bearsFade   = 60.0 // for what a server was seen to bear
 	jamHold     = 1.5  // a delay note comes once a second while it holds
 	beat        = 0.25 // pace of housekeeping; finer than any hold below
 	halfLife    = 8.0  // evidence is halved this often, so that it speaks of the last ten seconds or so
@@ -99,7 +98,7 @@
 	tight           float64            // share of the servers holding connections of this node that were slow of late
 	blind           float64            // 1 for a node that holds nothing, near 0 for one that holds many a server
 	strain          float64            // chance that a flow goes to its group's home at once, by what was seen of jams
-	bears           float64            // mean held by a server, the most of late: jams and drops lower what is held now
+	widest, due     float64            // the longest list; connections of all members' shares, a server and node
 	out, atHome     int                // connects out; open connections at their group's home less those at their primary
 	given           bool               // a successor takes the flows
 	follows, jammed bool               // a subscription stands or is asked for; the last line on jams said so
@@ -185,6 +184,10 @@
 			b.base = append(b.base, i)
 		}
 	}
+	b.widest, b.due = max(b.widest, float64(len(b.base))), 0
+	for _, quota := range b.Quotas { // a shorter list has no more to bear: its servers are the same
+		b.due += quota / b.widest / float64(b.Nodes)
+	}
 	if b.askGap = 0; kind == ListCached { // nodes that start together do not call together
 		b.askAt = now + b.chance()*b.listTime()
 	}
@@ -534,7 +537,7 @@
 // look raises the ceilings and takes stock of jams. A ceiling that is dropped once its server is empty lets
 // all nodes rush in together and jam it again.
 func (b *Balancer) look(now float64) {
-	holding, tight, held, usual := 0.0, 0.0, 0.0, b.bears*b.meanLoad()
+	holding, tight, held, usual := 0.0, 0.0, 0.0, b.due*b.meanLoad()
 	for i := range b.servers {
 		s := &b.servers[i]
 		s.moves = 0
@@ -553,8 +556,7 @@
 	}
 	b.tight = tight / max(holding, 1)
 	b.strain += beat * (strainRise*b.tight*(1-b.strain) - b.strain/strainFade)
-	held /= max(float64(len(b.base)), 1)
-	b.blind, b.bears = 1/(1+held), max(b.bears*(1-beat/bearsFade), held)
+	b.blind = 1 / (1 + held/max(float64(len(b.base)), 1))
 	if b.jammed && b.tight+b.scarce < 0.1 || !b.jammed && b.tight+b.scarce > 0.5 {
 		b.jammed = !b.jammed
 		b.say("jammed: %v, %.0f of %.0f servers in use slow, %.0f%% of flows without room, %.0f%% sent home",
@@ -564,8 +566,7 @@
 
 // ---- the path ----
 
-// survey rebuilds the usable servers by id: ready, not out by hand, not just full and, if that leaves any, not
-// set aside.
+// survey rebuilds the usable servers by id: ready, not out by hand or just full and, if any are left, not aside.
 func (b *Balancer) survey(now float64, mid bool) {
 	for _, asideToo := range [2]bool{false, true} {
 		b.usable = b.usable[:0]
@@ -594,11 +595,8 @@
 // mayTake keeps to this node's part of a cold server's budget in a window: what a warm server's connections,
 // spread over the warm-up, come to, times its warmth; at the least one connect by the chance least.
 func (b *Balancer) mayTake(now float64, s *server, warm, mean, least float64) bool {
-	if warm >= 1 {
-		return true
-	}
-	if b.given { // guards against a budget spent by two processes of one node
-		return false
+	if warm >= 1 || b.given { // given: guards against a budget spent by two processes of one node
+		return warm >= 1
 	}
 	if now-s.windowFrom >= b.FallFor {
 		s.windowFrom, s.spent, s.luck = now, 0, b.chance()
@@ -606,7 +604,7 @@
 	// Guards against a part that is void in nearly every window, as one of a hundred nodes sees a flow in
 	// seconds: cold servers stood empty beside jammed ones. One draw a window, lest each of a hundred sends
 	// one.
-	part := max(least, 1/float64(b.Nodes), warm*mean*b.FallMultiple/2*b.FallFor/b.ColdFor)
+	part := max(least, 1/float64(b.Nodes), warm*max(mean, b.due)*b.FallMultiple/2*b.FallFor/b.ColdFor)
 	return s.spent+1 <= part+s.luck
 }
 
@@ -664,8 +662,7 @@
 	for _, at := range b.usable {
 		if s := &b.servers[at]; s.wanted > 0 && now >= s.wanted {
 			s.wanted = 0
-			bears := b.warmth(now, s) * mean * b.FallMultiple / 2 * backWithin / cmp.Or(b.FallFor, 1)
-			if b.chance() < bears {
+			if b.chance() < b.warmth(now, s)*mean*b.FallMultiple/2*backWithin/cmp.Or(b.FallFor, 1) {
 				return at
 			}
 		}
