--- a/placement/placement.go
+++ b/placement/placement.go
@@ -537,7 +537,7 @@
 // look raises the ceilings and takes stock of jams. A ceiling that is dropped once its server is empty lets
 // all nodes rush in together and jam it again.
 func (b *Balancer) look(now float64) {
-	holding, tight, held, usual := 0.0, 0.0, 0.0, b.due*b.meanLoad()
+	holding, tight, held, usual := 0.0, 0.0, 0.0, b.due*b.meanLoad()/2
 	for i := range b.servers {
 		s := &b.servers[i]
 		s.moves = 0
