Emulator: hosts out by hand and upgrades as faults; an elder moves nobody who goes over

Scripted and drawn: hand and upgrade, two cores that are one node, what goes over crossing as JSON, sockets changing their process.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -198,6 +198,7 @@
 		{"two answers", OneAnswer, "", func(c Core) Core { return &twice{c} }, nil},
 		{"the list of who drains is not heard", Drains, "[[fault]]\nat = 10\nkind = \"release\"\ncount = 4\nfor = 10\n",
 			func(c Core) Core { return &deaf{c} }, nil},
+		{"a yes to operators with nothing behind it", Drains, operated, func(c Core) Core { return &careless{c} }, nil},
 		{"two connects out", OneOut, "", func(c Core) Core {
 			return &double{c, map[node.Conn]string{}, map[node.Conn][]byte{}}
 		}, nil},
@@ -275,3 +276,60 @@
 		}
 	}
 }
+
+// careless says yes to whoever takes a host out, and goes on.
+type careless struct{ Core }
+
+func (c *careless) Apply(now float64, in node.Input) []node.Effect {
+	if q, ok := in.(node.Asked); ok && q.What == node.TakeOut {
+		return []node.Effect{node.Answer{Yes: true}}
+	}
+	return c.Core.Apply(now, in)
+}
+
+const operated = `
+[[fault]]
+at = 4
+kind = "hand"
+host = 2
+for = 14
+[[fault]]
+at = 6
+kind = "upgrade"
+node = 0
+[[fault]]
+at = 8
+kind = "upgrade"
+node = 1
+[[fault]]
+at = 16
+kind = "upgrade"
+node = 0
+`
+
+// Upgrades break and move nobody, and a host that is out stays out over them.
+func TestUpgrades(t *testing.T) {
+	s := script(t, calm+strings.Replace(operated, `kind = "hand"`, `kind = "roster_late"`, 1))
+	for seed := range uint64(4) {
+		r := Play(s, seed, Options{Permute: seed%2 == 1})
+		if r.Broken > 0 || r.Moved > 0 || r.Service < 0.97 || len(r.Breaks) > 0 || r.Unanswered > 0 {
+			t.Errorf("seed %d: %d broken, %d moved, %d unanswered, service %.3f, breaks %v", seed, r.Broken, r.Moved,
+				r.Unanswered, r.Service, r.Breaks)
+		}
+	}
+}
+
+// An upgrade at any moment, also beside kills, drops of discovery and calls by hand, breaks no rule; the same seed
+// gives the same trace.
+func TestUpgradesAmongFaults(t *testing.T) {
+	s := script(t, "drawn_faults = 6\n"+calm+operated)
+	for seed := range uint64(12) {
+		r := Play(s, seed, Options{Permute: seed%2 == 1})
+		for _, b := range r.Breaks {
+			t.Errorf("seed %d: %v", seed, b)
+		}
+		if seed == 3 && r.Trace != Play(s, seed, Options{Permute: true}).Trace {
+			t.Error("traces of one seed differ")
+		}
+	}
+}
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -70,11 +70,16 @@
 		was := w.store.bears
 		w.store.bears = max(f.By, 0.1)
 		w.after(f.For, func() { w.store.bears = was })
+	case "hand":
+		w.maintain(host(), f.For)
+	case "upgrade":
+		w.upgrade(f.Node)
 	case "node_kill":
 		w.kill(w.nodes[f.Node], f.For)
 	case "node_restart":
 		n := w.nodes[f.Node]
 		if n.running {
+			n.leaving = true
 			n.give(leave)
 			w.after(4, func() { w.kill(n, f.For) })
 		}
@@ -134,9 +139,14 @@
 func (w *World) kill(n *station, back float64) {
 	if n.running {
 		n.stop()
+		n.parted()
+	}
+	if old := n.elder; old != nil && old.running && !old.leaving { // it has the clients again
+		w.nodes[n.index], n.elder = old, nil
+		return
 	}
 	w.after(back, func() {
-		if !n.running {
+		if !n.running && w.nodes[n.index] == n {
 			w.boot(n)
 		}
 	})
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -66,6 +66,9 @@
 	if f.answers > 0 {
 		r.broken(OneAnswer, "flow %s was sent on after its answer", f.id)
 	}
+	if told, ok := n.out[h.name]; ok && r.w.now > told+r.w.script.Rules.Grace {
+		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it said that it is out", n.name, f.id, h.name, r.w.now-told)
+	}
 	if told, ok := n.told[h.name]; ok && r.w.now > told+r.w.script.Rules.Grace {
 		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it learned", n.name, f.id, h.name, r.w.now-told)
 	}
--- a/internal/emulator/script.go
+++ b/internal/emulator/script.go
@@ -106,6 +106,8 @@
 	"drain":        {host: true, lasts: true},
 	"stall":        {host: true, lasts: true}, // takes connections and says nothing: a fault in mid-handshake
 	"store_slow":   {lasts: true, by: true},
+	"hand":         {host: true, lasts: true}, // out by hand at every node, restarted meanwhile, put back
+	"upgrade":      {node: true},              // a new process beside the old one
 	"node_kill":    {node: true, lasts: true},
 	"node_restart": {node: true, lasts: true}, // asked to leave first
 }
--- a/internal/emulator/station.go
+++ b/internal/emulator/station.go
@@ -29,6 +29,12 @@
 	watch   int     // number of the watch that stands
 	timer   int
 	told    map[string]float64 // when it learned that a host drains or is gone
+	out     map[string]float64 // when it said yes to a host taken out by hand
+	elder   *station           // the process before this one, and the one after it, while there are two
+	heir    *station
+	leaving bool                // it was asked to leave
+	given   bool                // the elder has given its clients
+	adopted map[node.Conn]*port // host's sides of connections that the core is about to adopt, by their client's
 	cpu     float64
 }
 
@@ -41,6 +47,7 @@
 	host    *host
 	flow    *flow
 	counted bool
+	passed  bool // it is the heir's
 }
 
 var errUnreached = errors.New("unreached")
@@ -104,7 +111,7 @@
 			p.s.close(e.Reset)
 		}
 		delete(n.conns, e.Conn)
-		if p.s != nil {
+		if p.s != nil || p.passed {
 			n.give(node.Closed{Conn: e.Conn})
 		} else {
 			p.into = nil
@@ -126,6 +133,20 @@
 		n.w.trace("%s ended %s %s", n.name, e.Record.Reason, e.Record.Host)
 	case node.Exit:
 		n.stop()
+		n.parted()
+	case node.Halt:
+		p := n.conns[e.Conn]
+		got := node.Got{Conn: p.id, N: p.s.read(p.into)}
+		p.into = nil
+		n.give(got)
+	case node.Pass:
+		n.pass(e)
+	case node.Own:
+		n.own(e)
+	case node.Tell:
+		n.tell(e.News)
+	case node.Ready:
+		n.takes()
 	}
 }
 
--- /dev/null
+++ b/internal/emulator/twin.go
@@ -0,0 +1,200 @@
+package emulator
+
+import (
+	"encoding/json"
+	"maps"
+
+	"gorseledge/internal/node"
+	"gorseledge/internal/rundown"
+)
+
+const (
+	handDelay = 2e-4 // between two processes of one machine
+	lastCall  = 4.0  // from SIGTERM to the kill
+)
+
+// ask puts a question to a core as the second address does, and gives the answer that comes with its effects.
+func (n *station) ask(q node.Asked) (a node.Answer) {
+	for _, e := range n.core.Apply(n.w.base+n.w.now, q) {
+		if got, ok := e.(node.Answer); ok {
+			a = got
+			continue
+		}
+		n.perform(e)
+	}
+	return a
+}
+
+// byHand has operators take a host out, or put it back, at every node that runs. From the answer on the node is
+// held to it, whatever discovery tells.
+func (w *World) byHand(h *host, out bool) {
+	for _, n := range w.processes() {
+		q := node.Asked{What: node.PutBack, Host: h.name}
+		if out {
+			q.What = node.TakeOut
+		}
+		if a := n.ask(q); !a.Yes {
+			continue
+		}
+		if _, was := n.out[h.name]; out && !was {
+			n.out[h.name] = w.now
+		} else if !out {
+			delete(n.out, h.name)
+		}
+	}
+}
+
+// processes are those that run, the old ones of upgrades included.
+func (w *World) processes() (all []*station) {
+	for _, n := range w.nodes {
+		for p := n; p != nil; p = p.elder {
+			if p.running && !p.vanished {
+				all = append(all, p)
+			}
+		}
+	}
+	return all
+}
+
+// maintain has a host taken out by hand, restarted in the middle of that, and put back.
+func (w *World) maintain(h *host, lasts float64) {
+	if h.state != serving || !h.running {
+		return
+	}
+	w.byHand(h, true)
+	w.after(lasts/2, func() {
+		if h.state == serving && h.running {
+			h.crash()
+			w.revive(h)
+		}
+	})
+	w.after(lasts, func() { w.byHand(h, false) })
+}
+
+// crossed is what becomes of something that goes from one process to the other.
+func crossed[T any](in T) (out T) {
+	text, err := json.Marshal(in)
+	if err == nil {
+		err = json.Unmarshal(text, &out)
+	}
+	if err != nil {
+		panic(err) // both ends are made here
+	}
+	return out
+}
+
+// upgrade starts a node's program again beside the old process, which is asked to leave once the new one is ready.
+func (w *World) upgrade(at int) {
+	old := w.nodes[at]
+	if !old.running || old.vanished || old.leaving || old.elder != nil || old.heir != nil {
+		return // one upgrade at a time
+	}
+	r, d, err := rundown.Read(w.settings, fork(w.seed, old.name+" anew", int(w.now*1e3)).Uint64())
+	if err != nil {
+		panic(err) // the settings are made here
+	}
+	heir := &station{machine: newMachine(old.name, old.zone), w: w, index: old.index, last: old.last, freeAt: w.now, running: true,
+		conns: map[node.Conn]*port{}, told: maps.Clone(old.told), out: maps.Clone(old.out), elder: old,
+		adopted: map[node.Conn]*port{}}
+	left := crossed(old.ask(node.Asked{What: node.Claim}).Legacy)
+	old.heir = heir
+	heir.core = node.New(w.base+w.now, node.Start{Rundown: r, Door: d, Sockets: w.script.Fleet.Sockets, Shut: true, Left: left})
+	if w.options.Wrong != nil {
+		heir.core = w.options.Wrong(heir.core)
+	}
+	w.trace("%s: a new process", old.name)
+	heir.give(node.Tick{})
+	w.after(lastCall+1, func() {
+		switch {
+		case heir.given && old.running: // it holds some connections to the end
+			old.stop()
+			old.parted()
+		case !heir.given && heir.running: // it never got ready
+			heir.stop()
+			heir.parted()
+		}
+	})
+}
+
+// takes has an heir that could serve take the clients.
+func (n *station) takes() {
+	old := n.elder
+	if old == nil || !old.running { // killed meanwhile: its next process has the door
+		return
+	}
+	n.w.after(handDelay, func() {
+		if !old.running || !n.running {
+			return
+		}
+		left := crossed(old.ask(node.Asked{What: node.Take}).Legacy)
+		n.given, n.w.nodes[n.index] = true, n
+		n.out = maps.Clone(old.out)
+		n.give(node.Inherited{Legacy: left})
+		n.give(node.Opened{})
+		n.w.after(handDelay, func() {
+			if old.running && n.running {
+				old.leaving = true
+				old.give(leave)
+			}
+		})
+	})
+}
+
+// pass moves an open connection to the heir: its bytes under way come there.
+func (n *station) pass(e node.Pass) {
+	heir, c, h := n.heir, n.conns[e.Conn], n.conns[e.Host]
+	if heir == nil || !heir.running {
+		n.give(node.Passed{Conn: e.Conn})
+		return
+	}
+	parcel := crossed(e.Parcel)
+	heir.last += 2
+	client := &port{station: heir, id: heir.last, s: c.s}
+	host := &port{station: heir, host: h.host, s: h.s, flow: h.flow, counted: true}
+	heir.adopted[client.id] = host
+	h.flow = nil // it is out at the heir
+	for _, p := range []*port{client, host} {
+		delete(n.machine.sockets, p.s)
+		heir.machine.sockets[p.s] = true
+		p.s.on, p.s.wake = heir.machine, p.hear
+	}
+	c.s, h.s, c.passed, h.passed = nil, nil, true, true
+	heir.conns[client.id] = client
+	heir.give(node.Adopted{Conn: client.id, Parcel: parcel})
+	n.give(node.Passed{Conn: e.Conn, OK: true})
+}
+
+// own gives the host's side of an adopted connection its number.
+func (n *station) own(e node.Own) {
+	p := n.adopted[e.With]
+	delete(n.adopted, e.With)
+	p.id = e.Conn
+	n.conns[e.Conn] = p
+}
+
+// tell brings news to the node's other processes.
+func (n *station) tell(news node.News) {
+	news = crossed(news)
+	for _, other := range []*station{n.elder, n.heir} {
+		if other == nil || !other.running {
+			continue
+		}
+		n.w.after(handDelay, func() {
+			if other.running {
+				other.give(node.Told{News: news})
+			}
+		})
+	}
+}
+
+// parted tells the other process that this one is no more.
+func (n *station) parted() {
+	if n.heir != nil && n.heir.running {
+		n.heir.give(node.ElderGone{})
+		n.heir.elder = nil
+	}
+	if n.elder != nil && n.elder.running {
+		n.elder.give(node.HeirGone{})
+		n.elder.heir = nil
+	}
+}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -44,7 +44,7 @@
 	stay, held := n.stay(), false
 	for _, f := range n.flows {
 		switch {
-		case f == nil || f.over:
+		case f == nil || f.over || f.lifting: // guards against a move of what is about to go over
 		case f.established && !n.door.PassThrough:
 			n.move(f, MovedLeaving, placement.CalledOff)
 		case !f.established && n.late():
--- a/internal/node/legacy_test.go
+++ b/internal/node/legacy_test.go
@@ -379,3 +379,28 @@
 		h.do(ElderGone{})
 	}
 }
+
+// An elder asked to leave in the same moment moves nobody who is about to go over; who cannot go is moved then.
+func TestLeaveWhileLifting(t *testing.T) {
+	w := newWorld(t, "proxy", 1, 100)
+	client, host := w.established(chat)
+	stuck, far := w.established("b2 c=chat,t=acme,d=2000")
+	w.stalled[stuck] = true
+	w.say(far, "M 1\r\n", Open)
+	w.say(host, "M 2\r\n", Open)
+	h := w.heir("proxy")
+	w.takenBy(h)
+	w.do(Leave{})
+	names := w.carry(h, false)
+	if len(names) != 2 || strings.Contains(w.said[client], "MOVE") || w.exited {
+		t.Fatalf("passed %v, told %q, exited %v", names, w.said[client], w.exited)
+	}
+	w.pass(1)
+	w.stalled[stuck] = false
+	for _, held := range w.held {
+		w.do(held)
+	}
+	if !strings.HasSuffix(w.said[stuck], "MOVE\r\n") {
+		t.Errorf("who stayed was told %q", w.said[stuck])
+	}
+}
