Connects of a blind node wait out their time, and none follow while the gate is closed

Cause: settle and timeout in placement.go. Connects given up after half the time left stayed in the queue of the store that all hosts share and were followed by up to four more, while the gate has a floor of one connect a node. Ruled out by log lines at each connect's end: jammed hosts (messages under 4 ms all the while), single bad hosts (no answer and errors even over all), the node's own lateness (245 of 13,289 messages over 17 ms).

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -409,8 +409,7 @@
 		b.gateAt = now
 		b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 	}
-	// A refused connect tells of its server alone. Guards against a list told late, most of which has gone:
-	// nodes of few flows took many dead servers for a trouble that all share, and went on trying them.
+	// Guards against many dead servers, where a list is late, being taken for a trouble that all share.
 	most := max(1, ready/3)
 	if how == Unreached {
 		common, most = 0, max(1, ready*2/3)
@@ -643,8 +642,7 @@
 		return entry, full, after
 	}
 	next, draw := b.homeOf(f.home, -1)
-	// What comes back had too much where it was, whichever node chose that: home, or the next two, lest a node
-	// that sees little sends it where it was dropped. Others go home as strain is seen.
+	// What comes back had too much where it was: home, or the next two. Others go home as strain is seen.
 	if f.back && !mid && b.chance() < searchShare*b.blind {
 		for range 1 + int(2*b.chance()) {
 			after = draw
@@ -704,8 +702,7 @@
 		at := b.usable[entry]
 		s := &b.servers[at]
 		warm := b.warmth(now, s)
-		// What all nodes may send here is the rule's multiple of its even share among all listed, as one flow
-		// in m enters and spill comes from everywhere. Guards against a cold server that is the last one left.
+		// All nodes' part: the rule's multiple of its even share. Guards against a cold server that is the last.
 		share := warm * min(1, b.FallMultiple/2/max(float64(m), float64(len(b.base))/2))
 		if k == 0 {
 			share = warm * min(1, b.FallMultiple/2*float64(m)/float64(len(b.base)))
@@ -751,10 +748,12 @@
 	return place, draw
 }
 
-// timeout splits what is left before the connect timeout, so that a further connect fits.
+// timeout splits what is left before the connect timeout, so that a further connect fits. Guards against a shared
+// store kept full by what was given up in its queue: who sees failures at many, or next to nothing, waits it out.
 func (b *Balancer) timeout(now float64, f *flow) float64 {
 	left := f.due - now
-	if f.tries+1 >= b.MaxConnects || b.Types[f.kind].Effect == OnceOnly {
+	if f.tries+1 >= b.MaxConnects || b.Types[f.kind].Effect == OnceOnly || f.ranAt >= 0 ||
+		!math.IsInf(b.gate, 1) || float64(f.ca>>11)/(1<<53) < (2*b.blind-1)*(1-1/float64(b.Nodes)) {
 		return left
 	}
 	return min(left, max(b.Types[f.kind].SetupTarget, left/2))
@@ -765,10 +764,11 @@
 	if !f.owed || f.out {
 		return Decision{}, false
 	}
-	// Guards against dropped clients that bounce from server to server and keep every jam alive: where a node
-	// sees too little to find room, those that come back are paced with a retry time.
+	// Guards against dropped clients that bounce from jam to jam where a node sees too little to find room.
 	paced := f.back && !f.midFlow && f.tries == 0 && b.chance() < paceReturns*b.tight*b.blind
-	if now < f.due && f.tries < b.MaxConnects && (float64(b.out) < b.gate || f.midFlow) && !paced {
+	// Guards against the gate's floor of one connect a node: what failed at a shared store goes again by chance.
+	spent := f.ranAt >= 0 && !math.IsInf(b.gate, 1) && b.chance() < b.blind
+	if now < f.due && f.tries < b.MaxConnects && (float64(b.out) < b.gate || f.midFlow) && !paced && !spent {
 		if at := b.place(now, f); at >= 0 {
 			within := b.timeout(now, f)
 			b.hold(f, at)
--- /dev/null
+++ b/placement/store_test.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"math"
+	"testing"
+)
+
+// Who sees next to nothing, or failures at many servers, waits a connect out, and what got no answer is not followed
+// by a shorter wait. Guards against 30 to 50 connects a flow on the fleet days (herd, zone, roll), most of them given
+// up while they still stood in the queue of a store that all hosts share.
+func TestTimeouts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		blind float64
+		gate  float64
+		how   Outcome // of the first connect
+		wait  float64 // of the first, of 3 s
+		then  float64 // of the second, 0.5 s later; 0 for none
+	}{
+		{"a node of many connections", 0, math.Inf(1), Unanswered, 1.5, 2.5},
+		{"a first that reached nothing", 0, math.Inf(1), Unreached, 1.5, 1.25},
+		{"failures at many servers", 0, 3, Errored, 3, 2.5},
+		{"a node of next to nothing", 1, math.Inf(1), Unanswered, 3, 2.5},
+		{"and failures at many", 1, 3, Errored, 3, 0},
+	} {
+		g := newRig(9, func(r *Rundown) { r.Nodes, r.Tick = 1<<20, 0 })
+		g.blind, g.gate, g.gateAt = c.blind, c.gate, g.now
+		d, _ := g.arrive(1, Arrival{Key: 1})
+		if d.Do != Connect || math.Abs(d.Within-c.wait) > 1e-6 {
+			t.Errorf("%s: %+v, wanted a connect of %g s", c.name, d, c.wait)
+			continue
+		}
+		g.now += 0.5
+		g.Ended(g.now, 1, 0, c.how, false)
+		d = Decision{Do: Log}
+		for _, d = range g.pull() {
+			if d.Flow == 1 {
+				break
+			}
+		}
+		switch {
+		case c.then == 0 && d.Do != Reject:
+			t.Errorf("%s: then %+v, wanted a reject at once", c.name, d)
+		case c.then > 0 && (d.Do != Connect || math.Abs(d.Within-c.then) > 1e-6):
+			t.Errorf("%s: then %+v, wanted a connect of %g s", c.name, d, c.then)
+		}
+	}
+}
+
+// A store that all hosts share works through set-ups in turn, also those that were given up meanwhile, and turns
+// away what finds its queue full. The clients of many nodes come to it at once and come again when they are told
+// no: they are served as it works, in little more than one connect each.
+func TestSharedStore(t *testing.T) {
+	const nodes, each, pace, room, step = 60, 5, 100.0, 220, 0.01
+	type ask struct {
+		node, flow, try int
+		until           float64
+	}
+	type client struct {
+		at   float64 // comes (again) then
+		gone bool
+	}
+	balancers, clients := make([]*rig, nodes), make([][each]client, nodes)
+	for i := range balancers {
+		balancers[i] = newRig(20, func(r *Rundown) { r.Seed, r.Nodes, r.MaxConnects = uint64(i), nodes, 5 })
+		balancers[i].blind = 1
+	}
+	var queue []ask
+	var connects, established int
+	work := 0.0
+	for now := 1000.0; now < 1012; now += step {
+		for i, g := range balancers {
+			g.now = now
+			for k := range clients[i] {
+				if c := &clients[i][k]; !c.gone && c.at <= now {
+					c.at = math.Inf(1)
+					g.Flow(now, k, Arrival{Key: uint64(i*each + k + 1), Left: 2, Back: true})
+				}
+			}
+			if math.Mod(now, beat) < step {
+				g.Woken(now)
+			}
+			for {
+				d, ok := g.Next(now)
+				if !ok {
+					break
+				}
+				switch d.Do {
+				case Connect:
+					connects++
+					try := g.flows[d.Flow].tries - 1
+					if len(queue) >= room {
+						g.Ended(now, d.Flow, try, Errored, false)
+						continue
+					}
+					queue = append(queue, ask{i, d.Flow, try, now + d.Within})
+				case Reject, Abort:
+					clients[i][d.Flow].at = now + 0.05
+				}
+			}
+		}
+		for _, q := range queue {
+			g := balancers[q.node]
+			if f := &g.flows[q.flow]; now >= q.until && f.out && !f.open && f.tries-1 == q.try {
+				g.Ended(now, q.flow, q.try, Unanswered, false)
+			}
+		}
+		for work += pace * step; work >= 1 && len(queue) > 0; work-- {
+			q := queue[0]
+			queue = queue[1:]
+			g := balancers[q.node]
+			if f := &g.flows[q.flow]; f.out && !f.open && f.tries-1 == q.try {
+				g.Established(q.flow, q.try)
+				clients[q.node][q.flow].gone = true
+				established++
+			}
+		}
+		work = min(work, 1)
+	}
+	if established < nodes*each || connects > 4*nodes*each {
+		t.Errorf("%d of %d established, %d connects", established, nodes*each, connects)
+	}
+}
