--- /dev/null
+++ b/internal/emulator/members/world.go
@@ -0,0 +1,317 @@
+// Package members plays fleets of membership cores on a virtual clock, with faults among them: the same core that
+// runs in service, by the hundred. All its figures are simulated.
+package members
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"gorseledge/internal/membership"
+	"gorseledge/internal/membership/wire"
+)
+
+// Options are what a world is made of. Times are seconds.
+type Options struct {
+	Nodes  int
+	Seed   uint64
+	Plain  bool    // SWIM without Lifeguard's parts
+	Loss   float64 // part of all messages that is lost
+	Delay  float64 // mean of a message's way, drawn evenly from half to one and a half of it
+	Repeat float64 // part of all messages that comes twice
+	Zones  int
+	Period float64
+}
+
+// Event is one change that a node saw.
+type Event struct {
+	At   float64
+	Node int
+	membership.Changed
+}
+
+type item struct {
+	at    float64
+	order uint64
+	node  int
+	tick  bool
+	from  int
+	msg   *wire.Message
+	do    func()
+}
+
+type queue []item
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(item)) }
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	x := (*q)[last]
+	*q = (*q)[:last]
+	return x
+}
+
+// node is one process.
+type node struct {
+	*membership.Members
+	name, address string
+	down          bool
+	stopped       bool
+	held          []item // what came while it was stopped
+	tickAt        float64
+	replaced      bool
+}
+
+// World is a fleet under way.
+type World struct {
+	Options
+	Now      float64
+	Events   []Event
+	Bytes    []int // sent, by node
+	Messages []int
+	Largest  int
+	nodes    []*node
+	byAddr   map[string]int
+	queue    queue
+	order    uint64
+	rand     *rand.Rand
+	cut      map[[2]int]bool
+}
+
+// New gives a world whose nodes start together, each of which knows the first three addresses.
+func New(o Options) *World {
+	w := &World{Options: o, Now: 1000, rand: rand.New(rand.NewPCG(o.Seed, 77)), byAddr: map[string]int{},
+		cut: map[[2]int]bool{}}
+	if w.Period == 0 {
+		w.Period = 1
+	}
+	if w.Delay == 0 {
+		w.Delay = 0.001
+	}
+	for range o.Nodes {
+		w.Start(fmt.Sprintf("n%04d", len(w.nodes)), "")
+	}
+	return w
+}
+
+// Start starts one more process and gives its number; it takes an address of its own where none is given.
+func (w *World) Start(name, address string) int {
+	i := len(w.nodes)
+	if address == "" {
+		address = fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&255)
+	}
+	zone := ""
+	if w.Zones > 0 {
+		zone = string(rune('a' + i%w.Zones))
+	}
+	var join []string
+	for k := range 3 {
+		join = append(join, fmt.Sprintf("10.0.0.%d:7000", k))
+	}
+	n := &node{name: name, address: address}
+	n.Members = membership.New(w.Now, membership.Config{
+		Self: membership.Member{Name: name, Start: uint64(w.Now*1e6) + uint64(i), Address: address, Zone: zone, Ready: true},
+		Join: join, Seed: w.Seed*7919 + uint64(i), Period: w.Period, Timeout: w.Period / 5, Helpers: 3, Most: 208,
+		Plain: w.Plain})
+	w.nodes = append(w.nodes, n)
+	w.Bytes, w.Messages = append(w.Bytes, 0), append(w.Messages, 0)
+	w.byAddr[address] = i
+	w.schedule(i)
+	return i
+}
+
+func (w *World) push(it item) {
+	w.order++
+	it.order = w.order
+	heap.Push(&w.queue, it)
+}
+
+// schedule has a node's tick come when it is due.
+func (w *World) schedule(i int) {
+	if at := max(w.nodes[i].Next(), w.Now); at != w.nodes[i].tickAt && at < 1e300 {
+		w.nodes[i].tickAt = at
+		w.push(item{at: at, node: i, tick: true})
+	}
+}
+
+// At has something happen at a time.
+func (w *World) At(at float64, do func()) { w.push(item{at: at, do: do}) }
+
+// Run plays until a time.
+func (w *World) Run(until float64) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		it := heap.Pop(&w.queue).(item)
+		w.Now = max(w.Now, it.at)
+		if it.do != nil {
+			it.do()
+			continue
+		}
+		w.give(it)
+	}
+	w.Now = until
+}
+
+func (w *World) give(it item) {
+	n := w.nodes[it.node]
+	switch {
+	case n.down:
+		return
+	case n.stopped:
+		if !it.tick && len(n.held) < 200 { // what a socket's buffer holds
+			n.held = append(n.held, it)
+		}
+		return
+	case it.tick:
+		if it.at != n.tickAt { // set anew since
+			return
+		}
+		w.carry(it.node, n.Tick(w.Now))
+	default:
+		w.carry(it.node, n.Receive(w.Now, it.msg))
+	}
+	w.schedule(it.node)
+}
+
+// carry carries out what a core asks for.
+func (w *World) carry(i int, effects []membership.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case membership.Send:
+			size := proto.Size(e.Message)
+			w.Bytes[i] += size
+			w.Messages[i]++
+			w.Largest = max(w.Largest, size)
+			w.deliver(i, e.To, e.Message)
+		case membership.Changed:
+			w.Events = append(w.Events, Event{w.Now, i, e})
+		case membership.Replaced:
+			w.nodes[i].replaced = true
+		}
+	}
+}
+
+func (w *World) deliver(from int, address string, msg *wire.Message) {
+	to, ok := w.byAddr[address]
+	if !ok || w.cut[[2]int{from, to}] || w.rand.Float64() < w.Loss {
+		return
+	}
+	copies := 1
+	if w.rand.Float64() < w.Repeat {
+		copies = 2
+	}
+	for range copies {
+		w.push(item{at: w.Now + w.Delay*(0.5+w.rand.Float64()), node: to, from: from, msg: msg})
+	}
+}
+
+// Cut breaks the way from one node to another, or mends it.
+func (w *World) Cut(from, to int, broken bool) {
+	if broken {
+		w.cut[[2]int{from, to}] = true
+	} else {
+		delete(w.cut, [2]int{from, to})
+	}
+}
+
+// Kill ends a process without a word.
+func (w *World) Kill(i int) { w.nodes[i].down = true }
+
+// Stop holds a process up, Wake has it go on with what came meanwhile.
+func (w *World) Stop(i int) { w.nodes[i].stopped = true }
+
+// Wake has a stopped process go on: the clock has moved, its timers are late, and its socket's buffer is full.
+func (w *World) Wake(i int) {
+	n := w.nodes[i]
+	if n.down || !n.stopped {
+		return
+	}
+	n.stopped = false
+	held := n.held
+	n.held = nil
+	w.carry(i, n.Tick(w.Now))
+	for _, it := range held {
+		w.carry(i, n.Receive(w.Now, it.msg))
+	}
+	w.schedule(i)
+}
+
+// Leave has a node go in good order.
+func (w *World) Leave(i int) {
+	w.carry(i, w.nodes[i].Members.Leave(w.Now))
+	w.nodes[i].down = true
+}
+
+// Inject delivers a message to a node as it is.
+func (w *World) Inject(to int, msg *wire.Message) { w.push(item{at: w.Now, node: to, msg: msg}) }
+
+// Node gives a node's core.
+func (w *World) Node(i int) *membership.Members { return w.nodes[i].Members }
+
+// Replaced tells whether a process was told that another took its name over.
+func (w *World) Replaced(i int) bool { return w.nodes[i].replaced }
+
+// Address gives a node's address.
+func (w *World) Address(i int) string { return w.nodes[i].address }
+
+// Sees gives the state in which a node holds another, and false where it does not know it.
+func (w *World) Sees(i int, name string) (membership.State, bool) {
+	for _, x := range w.nodes[i].All() {
+		if x.Name == name {
+			return x.State, true
+		}
+	}
+	return membership.Dead, false
+}
+
+// Agree tells whether every process that runs holds exactly those that run for living; who is not, and where, else.
+func (w *World) Agree() (string, bool) {
+	up := map[string]bool{}
+	for _, n := range w.nodes {
+		if !n.down {
+			up[n.name] = true
+		}
+	}
+	for _, n := range w.nodes {
+		if n.down {
+			continue
+		}
+		seen := 0
+		for _, x := range n.All() {
+			living := x.State == membership.Alive
+			if living != up[x.Name] {
+				return fmt.Sprintf("%s holds %s for %v", n.name, x.Name, x.State), false
+			}
+			if living {
+				seen++
+			}
+		}
+		if seen != len(up) {
+			return fmt.Sprintf("%s knows %d of %d", n.name, seen, len(up)), false
+		}
+	}
+	return "", true
+}
+
+// Deaths counts the times that a running process was held for dead by another, a wrong one each.
+func (w *World) Deaths() (wrong int, first string) {
+	for _, e := range w.Events {
+		if e.State != membership.Dead {
+			continue
+		}
+		for _, n := range w.nodes {
+			if n.name == e.Name && !n.down {
+				if wrong++; wrong == 1 {
+					first = fmt.Sprintf("%s held %s for dead at %.1f", w.nodes[e.Node].name, e.Name, e.At)
+				}
+				break
+			}
+		}
+	}
+	return wrong, first
+}
--- /dev/null
+++ b/internal/emulator/members/world_test.go
@@ -0,0 +1,314 @@
+package members
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"gorseledge/internal/membership"
+	"gorseledge/internal/membership/wire"
+)
+
+const begin = 1000.0
+
+// settled gives a world whose nodes have found each other.
+func settled(t *testing.T, o Options) *World {
+	t.Helper()
+	w := New(o)
+	for until := begin + 5; ; until += 5 {
+		w.Run(until)
+		if why, ok := w.Agree(); ok {
+			return w
+		} else if until > begin+60*math.Log10(10+float64(o.Nodes)) {
+			t.Fatalf("%+v: not met after %g s: %s", o, until-begin, why)
+		}
+	}
+}
+
+// converge waits until all agree, for a stated time.
+func converge(t *testing.T, w *World, within float64) {
+	t.Helper()
+	for until := w.Now + within; ; {
+		why, ok := w.Agree()
+		if ok {
+			return
+		}
+		if w.Now >= until {
+			t.Fatalf("not agreed after %g s: %s", within, why)
+		}
+		w.Run(w.Now + 1)
+	}
+}
+
+// unharmed fails where a process that runs was held for dead by another.
+func unharmed(t *testing.T, w *World) {
+	t.Helper()
+	if n, first := w.Deaths(); n > 0 {
+		t.Errorf("seed %d: %d deaths of members that live: %s", w.Seed, n, first)
+	}
+}
+
+func TestMeetAndDie(t *testing.T) {
+	for _, n := range []int{3, 10, 60} {
+		for seed := range uint64(5) {
+			w := settled(t, Options{Nodes: n, Seed: seed})
+			w.Run(w.Now + 30)
+			unharmed(t, w)
+			w.Kill(1)
+			converge(t, w, 60)
+			w.Leave(n - 1)
+			converge(t, w, 30)
+			w.Run(w.Now + 10)
+			if s, _ := w.Sees(0, w.nodes[n-1].name); s != membership.Left {
+				t.Errorf("%d nodes: one that left is held for %v", n, s)
+			}
+			if w.Largest > 208 {
+				t.Errorf("a message of %d bytes", w.Largest)
+			}
+		}
+	}
+}
+
+// A process stopped for a while comes back by refutation and accuses nobody on waking.
+func TestPauses(t *testing.T) {
+	for _, pause := range []float64{0.2, 1, 5, 12, 20} {
+		for seed := range uint64(5) {
+			w := settled(t, Options{Nodes: 12, Seed: seed})
+			w.Stop(5)
+			w.Run(w.Now + pause)
+			before := len(w.Events)
+			w.Wake(5)
+			converge(t, w, 60)
+			for _, e := range w.Events[before:] {
+				if e.Node == 5 && e.State != membership.Alive && e.Name != "n0005" {
+					t.Errorf("seed %d, %g s: on waking it holds %s for %v", seed, pause, e.Name, e.State)
+				}
+			}
+			if n, first := w.Deaths(); n > 0 && pause < 4 {
+				t.Errorf("seed %d, stopped for %g s: %s", seed, pause, first)
+			}
+		}
+	}
+}
+
+// Thirty stopped and woken together: none of them accuses another.
+func TestAllPause(t *testing.T) {
+	for seed := range uint64(5) {
+		w := settled(t, Options{Nodes: 30, Seed: seed})
+		for i := range 30 {
+			w.Stop(i)
+		}
+		w.Run(w.Now + 20)
+		for i := range 30 {
+			w.Wake(i)
+		}
+		w.Run(w.Now + 40)
+		unharmed(t, w)
+		converge(t, w, 30)
+	}
+}
+
+// At 20% loss, with delays, repeats and reordering, no live member is held for dead; at 40% all is well afterwards.
+func TestLoss(t *testing.T) {
+	for _, loss := range []float64{0.05, 0.2} {
+		for seed := range uint64(10) {
+			w := settled(t, Options{Nodes: 20, Seed: seed})
+			w.Loss, w.Delay, w.Repeat = loss, 0.05, 0.1
+			w.Run(w.Now + 120)
+			unharmed(t, w)
+		}
+	}
+	w := settled(t, Options{Nodes: 20, Seed: 3})
+	w.Loss, w.Delay = 0.4, 0.3
+	w.Run(w.Now + 60)
+	w.Loss, w.Delay = 0, 0.001
+	converge(t, w, 60)
+}
+
+// One-sided cuts: who is still reached by way of one other stays a member.
+func TestOneSided(t *testing.T) {
+	for name, cut := range map[string]func(w *World){
+		"A hears B, B does not hear A": func(w *World) { w.Cut(0, 1, true) },
+		"a link cut both ways":         func(w *World) { w.Cut(0, 1, true); w.Cut(1, 0, true) },
+		"two zones, a third reaches both": func(w *World) {
+			for i := range 9 {
+				for k := range 9 {
+					if i%3 == 0 && k%3 == 1 || i%3 == 1 && k%3 == 0 {
+						w.Cut(i, k, true)
+					}
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				w := settled(t, Options{Nodes: 9, Seed: seed, Zones: 3})
+				cut(w)
+				w.Run(w.Now + 120)
+				unharmed(t, w)
+				bad := false
+				for _, x := range w.Node(2).All() { // told on, to one that all reach
+					bad = bad || len(x.Bad) > 0
+				}
+				if !bad {
+					t.Errorf("seed %d: nobody tells of a bad link", seed)
+				}
+			}
+		})
+	}
+}
+
+// One that hears nobody takes nobody with it, and is one again once it hears; so is one that nobody hears.
+func TestDeafAndMute(t *testing.T) {
+	for _, deaf := range []bool{true, false} {
+		for seed := range uint64(5) {
+			w := settled(t, Options{Nodes: 12, Seed: seed})
+			set := func(broken bool) {
+				for i := range 12 {
+					if i != 4 && deaf {
+						w.Cut(i, 4, broken)
+					} else if i != 4 {
+						w.Cut(4, i, broken)
+					}
+				}
+			}
+			set(true)
+			w.Run(w.Now + 60)
+			for _, e := range w.Events {
+				if e.State == membership.Dead && e.Name != "n0004" {
+					t.Errorf("seed %d, deaf %v: n%04d holds %s for dead", seed, deaf, e.Node, e.Name)
+				}
+			}
+			set(false)
+			converge(t, w, 60)
+		}
+	}
+}
+
+// Halves of a fleet that were cut off from each other for a minute and a half are one again: no ghost, no lasting death.
+func TestHalves(t *testing.T) {
+	for seed := range uint64(5) {
+		w := settled(t, Options{Nodes: 20, Seed: seed})
+		set := func(broken bool) {
+			for i := range 20 {
+				for k := range 20 {
+					if i%2 != k%2 {
+						w.Cut(i, k, broken)
+					}
+				}
+			}
+		}
+		set(true)
+		w.Run(w.Now + 90)
+		if n := w.Node(0).Living(); n != 10 {
+			t.Errorf("seed %d: %d live in one half", seed, n)
+		}
+		set(false)
+		converge(t, w, 60)
+	}
+}
+
+// Half of the addresses to join by are dead from the start on.
+func TestJoinByTheDead(t *testing.T) {
+	w := New(Options{Nodes: 12, Seed: 5})
+	w.Kill(0)
+	w.Kill(1)
+	converge(t, w, 60)
+}
+
+// A member back under its name, at another address or the same, is the same member; an older process that still runs
+// says so and leaves.
+func TestNames(t *testing.T) {
+	w := settled(t, Options{Nodes: 8, Seed: 2})
+	w.Kill(5)
+	w.Run(w.Now + 1)
+	again := w.Start("n0005", "10.0.9.9:7000")
+	w.Run(w.Now + 30)
+	for _, x := range w.Node(0).All() {
+		if x.Name == "n0005" && (x.State != membership.Alive || x.Address != "10.0.9.9:7000") {
+			t.Errorf("back elsewhere: %+v", x)
+		}
+	}
+	w.Start("n0006", "10.0.9.10:7000")
+	w.Run(w.Now + 60)
+	if !w.Replaced(6) || w.Replaced(again) || w.Replaced(len(w.nodes)-1) {
+		t.Errorf("replaced: old %v, new %v", w.Replaced(6), w.Replaced(len(w.nodes)-1))
+	}
+	if w.Node(0).Living() != 8 {
+		t.Errorf("%d live of 8", w.Node(0).Living())
+	}
+}
+
+// A liar that tells everybody that all others are dead takes nobody with it, in bounded work.
+func TestLiar(t *testing.T) {
+	for seed := range uint64(5) {
+		w := settled(t, Options{Nodes: 15, Seed: seed})
+		for k := range 40 {
+			w.At(w.Now+float64(k)*0.5, func() {
+				for to := range 14 {
+					msg := &wire.Message{Kind: wire.Message_STATE, From: "n0014", Start: w.Node(14).Self().Start}
+					for i := range 14 {
+						self := w.Node(i).Self()
+						msg.Updates = append(msg.Updates, &wire.Update{Name: self.Name, Start: self.Start,
+							Incarnation: self.Incarnation, State: uint32(membership.Dead + membership.State(k%2)),
+							Address: self.Address, By: fmt.Sprintf("n%04d", k%14)})
+					}
+					w.Inject(to, msg)
+				}
+			})
+		}
+		sent := 0
+		for _, b := range w.Messages {
+			sent += b
+		}
+		w.Run(w.Now + 20)
+		for _, b := range w.Messages {
+			sent -= b
+		}
+		unharmed(t, w)
+		if rate := float64(-sent) / 15 / 20; rate > 60 {
+			t.Errorf("seed %d: %.0f messages a member and second", seed, rate)
+		}
+		converge(t, w, 60)
+	}
+}
+
+// An incarnation at its end, and one of days ahead, are no lasting death.
+func TestLastIncarnation(t *testing.T) {
+	w := settled(t, Options{Nodes: 6, Seed: 1})
+	self := w.Node(2).Self()
+	w.Inject(0, &wire.Message{Kind: wire.Message_STATE, From: "n0005", Start: 1, Updates: []*wire.Update{{Name: self.Name,
+		Start: self.Start, Incarnation: math.MaxUint32, State: uint32(membership.Dead), Address: self.Address}}})
+	w.Run(w.Now + 20)
+	unharmed(t, w)
+	converge(t, w, 60)
+}
+
+// Days later all is as it was, and what is kept has not grown.
+func TestDays(t *testing.T) {
+	w := settled(t, Options{Nodes: 5, Seed: 4, Period: 60})
+	w.Run(w.Now + 5*86400)
+	unharmed(t, w)
+	converge(t, w, 1)
+}
+
+// Load a member does not hang on the fleet's size.
+func TestLoad(t *testing.T) {
+	rate := func(n int) float64 {
+		w := settled(t, Options{Nodes: n, Seed: 1})
+		w.Run(w.Now + 90)
+		from, sum := w.Now, 0
+		for i := range w.Bytes {
+			w.Bytes[i] = 0
+		}
+		w.Run(w.Now + 60)
+		for _, b := range w.Bytes {
+			sum += b
+		}
+		return float64(sum) / float64(n) / (w.Now - from)
+	}
+	small, large := rate(10), rate(200)
+	if large > 3*small {
+		t.Errorf("%.0f bytes a member and second at 10, %.0f at 200", small, large)
+	}
+}
