--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"strings"
 	"time"
 
+	"gorseledge/internal/fleet"
 	"gorseledge/internal/node"
 )
 
@@ -25,8 +27,8 @@
 // Ask puts a question to the node; false if the context ended before it answered.
 type Ask func(ctx context.Context, q node.Asked) (node.Answer, bool)
 
-// Handler answers the calls.
-func Handler(ask Ask) http.Handler {
+// Handler answers the calls. members gives what is known of the fleet; nil for a node on its own.
+func Handler(ask Ask, members func() fleet.View) http.Handler {
 	mux := http.NewServeMux()
 	put := func(pattern string, what node.Question, write func(w http.ResponseWriter, a node.Answer)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
@@ -50,7 +52,18 @@
 		}
 	}
 	put("GET /-/ready", node.IsReady, yes(http.StatusServiceUnavailable, "not ready"))
-	put("GET /-/metrics", node.HowMany, func(w http.ResponseWriter, a node.Answer) { write(w, a.Figures) })
+	put("GET /-/metrics", node.HowMany, func(w http.ResponseWriter, a node.Answer) {
+		write(w, a.Figures)
+		if members != nil {
+			writeMembers(w, members())
+		}
+	})
+	if members != nil {
+		mux.HandleFunc("GET /-/members", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(members())
+		})
+	}
 	put("PUT /-/hosts/{id}/disable", node.TakeOut, yes(http.StatusNotFound, "no such host"))
 	put("PUT /-/hosts/{id}/enable", node.PutBack, yes(http.StatusNotFound, "no such host"))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -93,10 +106,26 @@
 	io.WriteString(w, text.String())
 }
 
+// writeMembers gives the figures of the fleet, all gauges.
+func writeMembers(w io.Writer, v fleet.View) {
+	states := map[string]int{"alive": 0, "suspect": 0, "dead": 0, "left": 0}
+	bad := 0
+	for _, m := range v.Members {
+		states[m.State]++
+		if m.Name == v.Self {
+			bad = len(m.Bad)
+		}
+	}
+	for _, state := range []string{"alive", "suspect", "dead", "left"} {
+		fmt.Fprintf(w, "lb.members.%s:%d|g\n", state, states[state])
+	}
+	fmt.Fprintf(w, "lb.members.bad_links:%d|g\nlb.members.doubt:%d|g\nlb.members.nodes:%d|g\n", bad, v.Doubt, v.Nodes)
+}
+
 // Serve answers calls that come to ln, over at most that many connections at once, until the context ends.
-func Serve(ctx context.Context, ln net.Listener, most int, ask Ask) error {
+func Serve(ctx context.Context, ln net.Listener, most int, ask Ask, members func() fleet.View) error {
 	door := newDoor(ln, most)
-	server := &http.Server{Handler: Handler(ask), ReadTimeout: callWithin, WriteTimeout: callWithin + time.Second,
+	server := &http.Server{Handler: Handler(ask, members), ReadTimeout: callWithin, WriteTimeout: callWithin + time.Second,
 		MaxHeaderBytes: longestCall, ConnContext: door.mark, ConnState: door.state, ErrorLog: nothing,
 		DisableGeneralOptionsHandler: true}
 	server.SetKeepAlivesEnabled(false)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -30,7 +30,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	go func() { done <- Serve(ctx, ln, most, ask) }()
+	go func() { done <- Serve(ctx, ln, most, ask, nil) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,308 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gorseledge/internal/membership"
+	"gorseledge/internal/membership/wire"
+	"gorseledge/internal/peers"
+)
+
+const (
+	again    = 50 * time.Millisecond // between two tries to open the address
+	shareGap = time.Second           // between two looks at the number of nodes
+)
+
+// Fleet is this node's part of a fleet.
+type Fleet struct {
+	config  Config
+	log     zerolog.Logger
+	began   time.Time
+	base    float64
+	settled int
+	nodes   func(int)
+
+	mu      sync.Mutex
+	core    *membership.Members
+	seal    *seal
+	conn    *net.UDPConn
+	held    bool // another process of this node is the member now
+	left    bool
+	refused map[refusal]int
+	wake    chan struct{}
+	share   Share
+	told    int
+}
+
+// New gives a node's part of a fleet by its file; name, build and start are the node's, settled is how many nodes
+// its settings speak of. nodes is told the number of nodes to reckon with, now and whenever it changes.
+func New(c Config, name, build string, seed uint64, settled int, log zerolog.Logger, nodes func(int)) *Fleet {
+	began := time.Now()
+	f := &Fleet{config: c, log: log, began: began, base: float64(began.UnixNano()) / 1e9, settled: settled, nodes: nodes,
+		seal: newSeal(c), refused: map[refusal]int{}, wake: make(chan struct{}, 1)}
+	f.core = membership.New(f.now(), membership.Config{
+		Self: membership.Member{Name: name, Start: uint64(began.UnixMicro()), Address: c.Address, Zone: c.Zone, Build: build},
+		Join: c.Join, Seed: seed, Period: c.Period, Timeout: c.Period / 5, Helpers: 3, Most: mostBody})
+	return f
+}
+
+func (f *Fleet) now() float64 { return f.base + time.Since(f.began).Seconds() }
+
+// Run is a member until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		held := f.held || f.left
+		f.mu.Unlock()
+		if !held {
+			if err := f.open(); err != nil {
+				f.log.Debug().Err(err).Msg("the fleet's address")
+			} else {
+				f.serve(ctx)
+				continue
+			}
+		}
+		select {
+		case <-time.After(again):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) open() error {
+	at, err := netip.ParseAddrPort(f.config.Address)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.conn = conn
+	f.mu.Unlock()
+	f.log.Info().Str("fleet", f.config.Fleet).Str("address", f.config.Address).Msg("member of a fleet")
+	return nil
+}
+
+// serve reads and ticks until the address is closed.
+func (f *Fleet) serve(ctx context.Context) {
+	stop := context.AfterFunc(ctx, f.shut)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.read()
+	}()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	look := time.NewTicker(shareGap)
+	defer look.Stop()
+	for {
+		select {
+		case <-timer.C:
+			f.do(func(now float64) []membership.Effect { return f.core.Tick(now) })
+		case <-look.C:
+			f.count()
+		case <-f.wake:
+		case <-done:
+			return
+		}
+		f.mu.Lock()
+		next := min(max(f.core.Next()-f.now(), 0), 3600)
+		f.mu.Unlock()
+		timer.Reset(time.Duration(next * 1e9))
+	}
+}
+
+// shut closes the address.
+func (f *Fleet) shut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+}
+
+func (f *Fleet) read() {
+	f.mu.Lock()
+	conn := f.conn
+	f.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	buf := make([]byte, mostSize+1)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // an earlier message reached nobody
+			continue
+		}
+		f.mu.Lock()
+		m, why := f.seal.open(buf[:n])
+		if why != taken {
+			if f.refused[why]++; f.refused[why] == 1 {
+				f.log.Warn().Str("why", string(why)).Msg("message not taken")
+			}
+		}
+		f.mu.Unlock()
+		if why == taken {
+			f.do(func(now float64) []membership.Effect { return f.core.Receive(now, m) })
+			f.nudge()
+		}
+	}
+}
+
+func (f *Fleet) nudge() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// do gives the core something and carries out what it asks for.
+func (f *Fleet) do(what func(now float64) []membership.Effect) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range what(f.now()) {
+		switch e := e.(type) {
+		case membership.Send:
+			f.send(e.To, e.Message)
+		case membership.Changed:
+			f.log.Info().Str("member", e.Name).Str("state", e.State.String()).Str("was", e.Was.String()).Bool("new", e.New).
+				Str("by", e.By).Uint64("start", e.Start).Uint32("incarnation", e.Incarnation).Int("living", f.core.Living()).
+				Msg("member")
+		case membership.Replaced:
+			f.left = true
+			f.log.Error().Str("address", e.By.Address).Msg("another process goes by this name: this one leaves the fleet")
+			if f.conn != nil {
+				f.conn.Close()
+				f.conn = nil
+			}
+		}
+	}
+}
+
+// send sends a message; one that cannot be sent is lost, as on the way.
+func (f *Fleet) send(to string, m *wire.Message) {
+	if via, ok := f.config.Via[to]; ok {
+		to = via
+	}
+	at, err := peers.Address(to)
+	if err != nil || f.conn == nil {
+		return
+	}
+	text, err := f.seal.close(m)
+	if err != nil || len(text) > mostSize {
+		f.log.Error().Err(err).Int("bytes", len(text)).Msg("message not sent")
+		return
+	}
+	f.conn.WriteToUDPAddrPort(text, at)
+}
+
+// count tells the number of nodes where it has changed.
+func (f *Fleet) count() {
+	f.mu.Lock()
+	n := f.share.Take(f.now(), f.core.Living(), f.settled)
+	changed := n != f.told
+	f.told = n
+	f.mu.Unlock()
+	if changed && f.nodes != nil {
+		f.nodes(n)
+	}
+}
+
+// Ready tells the others whether this node takes clients.
+func (f *Fleet) Ready(ready bool) {
+	f.mu.Lock()
+	f.core.Facts(f.now(), ready)
+	f.mu.Unlock()
+}
+
+// Hold hands membership to another process of this node, or takes it back.
+func (f *Fleet) Hold(held bool) {
+	f.mu.Lock()
+	f.held = held
+	f.mu.Unlock()
+	if held {
+		f.shut()
+	}
+}
+
+// Leave tells the others that this node goes, unless another process of it stays.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	held := f.held || f.left
+	f.mu.Unlock()
+	if held {
+		return
+	}
+	f.do(func(now float64) []membership.Effect { return f.core.Leave(now) })
+	f.mu.Lock()
+	f.left = true
+	f.mu.Unlock()
+	f.shut()
+}
+
+// View is what this node knows of its fleet.
+type View struct {
+	Fleet   string         `json:"fleet"`
+	Self    string         `json:"self"`
+	Living  int            `json:"living"`
+	Doubt   int            `json:"doubt"`
+	Nodes   int            `json:"nodes"`
+	Members []Seen         `json:"members"`
+	Refused map[string]int `json:"refused,omitempty"`
+}
+
+// Seen is one member as the second address shows it.
+type Seen struct {
+	Name        string   `json:"name"`
+	State       string   `json:"state"`
+	Since       float64  `json:"since_s"` // Unix time
+	Start       uint64   `json:"start_us"`
+	Incarnation uint32   `json:"incarnation"`
+	Address     string   `json:"address"`
+	Zone        string   `json:"zone"`
+	Build       string   `json:"build,omitempty"`
+	Ready       bool     `json:"ready"`
+	Bad         []string `json:"bad_links,omitempty"`
+}
+
+// View gives what this node knows of its fleet now.
+func (f *Fleet) View() View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := View{Fleet: f.config.Fleet, Self: f.core.Self().Name, Living: f.core.Living(), Doubt: f.core.Doubt(),
+		Nodes: f.told, Refused: map[string]int{}}
+	all := f.core.All()
+	names := map[uint32]string{}
+	for _, m := range all {
+		names[membership.Number(m.Name)] = m.Name
+	}
+	for _, m := range all {
+		s := Seen{Name: m.Name, State: m.State.String(), Since: m.Since, Start: m.Start, Incarnation: m.Incarnation,
+			Address: m.Address, Zone: m.Zone, Build: m.Build, Ready: m.Ready}
+		for _, number := range m.Bad {
+			if name, known := names[number]; known {
+				s.Bad = append(s.Bad, name)
+			}
+		}
+		v.Members = append(v.Members, s)
+	}
+	for why, n := range f.refused {
+		v.Refused[string(why)] = n
+	}
+	return v
+}
--- /dev/null
+++ b/internal/fleet/seal.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+
+	"google.golang.org/protobuf/proto"
+
+	"gorseledge/internal/membership/wire"
+)
+
+const (
+	version    = 1  // first byte of a message: nodes of two versions ignore each other
+	macLen     = 16 // bytes of HMAC-SHA256 that go along
+	mostSize   = 256
+	mostBody   = 208 // bytes of a message itself; the rest proves that it is the fleet's and new
+	window     = 64  // messages that may come late or out of order
+	mostWindow = 1 << 15
+)
+
+// seal closes messages and opens them: a keyed MAC, the fleet's id and a count that grows guard against strangers,
+// other fleets and messages that are played again.
+type seal struct {
+	fleet []byte
+	keys  [][]byte
+	count uint64
+	seen  map[sender]*counts
+}
+
+// sender is one process.
+type sender struct {
+	name  string
+	start uint64
+}
+
+// counts are the messages seen of one: the highest and a bit for each of those before it.
+type counts struct {
+	highest uint64
+	bits    uint64
+}
+
+func newSeal(c Config) *seal {
+	sum := sha256.Sum256([]byte(c.Fleet))
+	return &seal{fleet: sum[:4], keys: c.keys, seen: map[sender]*counts{}}
+}
+
+func mac(key []byte, s *wire.Sealed) []byte {
+	h := hmac.New(sha256.New, key)
+	var count [8]byte
+	binary.BigEndian.PutUint64(count[:], s.Count)
+	h.Write(s.Fleet)
+	h.Write(count[:])
+	h.Write(s.Body)
+	return h.Sum(nil)[:macLen]
+}
+
+// close gives the datagram of a message.
+func (s *seal) close(m *wire.Message) ([]byte, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	s.count++
+	sealed := &wire.Sealed{Fleet: s.fleet, Count: s.count, Body: body}
+	sealed.Mac = mac(s.keys[0], sealed)
+	return proto.MarshalOptions{}.MarshalAppend([]byte{version}, sealed)
+}
+
+// refusal says why a datagram is not taken.
+type refusal string
+
+const (
+	taken     refusal = ""
+	garbage   refusal = "garbage"
+	otherWay  refusal = "another version"
+	stranger  refusal = "another fleet"
+	unproven  refusal = "no right MAC"
+	playBack  refusal = "seen before"
+	forgotten refusal = "too many senders"
+)
+
+// open gives the message of a datagram, or why there is none.
+func (s *seal) open(text []byte) (*wire.Message, refusal) {
+	var sealed wire.Sealed
+	switch {
+	case len(text) < 2 || len(text) > mostSize:
+		return nil, garbage
+	case text[0] != version:
+		return nil, otherWay
+	case proto.Unmarshal(text[1:], &sealed) != nil:
+		return nil, garbage
+	case string(sealed.Fleet) != string(s.fleet):
+		return nil, stranger
+	}
+	proven := false
+	for _, key := range s.keys {
+		proven = proven || hmac.Equal(sealed.Mac, mac(key, &sealed))
+	}
+	if !proven {
+		return nil, unproven
+	}
+	m := &wire.Message{}
+	if proto.Unmarshal(sealed.Body, m) != nil || m.From == "" {
+		return nil, garbage
+	}
+	return m, s.fresh(sender{m.From, m.Start}, sealed.Count)
+}
+
+// fresh notes a message's count; one that was seen, or is older than any that may be late, is played again.
+func (s *seal) fresh(from sender, count uint64) refusal {
+	c := s.seen[from]
+	if c == nil {
+		if len(s.seen) >= mostWindow {
+			return forgotten
+		}
+		for k := range s.seen { // of an older process nothing new can come, but for the word that it is replaced
+			if k.name == from.name && k.start+uint64(3600e6) < from.start {
+				delete(s.seen, k)
+			}
+		}
+		s.seen[from] = &counts{highest: count, bits: 1}
+		return taken
+	}
+	if count > c.highest {
+		c.bits = c.bits<<min(count-c.highest, 64) | 1
+		c.highest = count
+		return taken
+	}
+	age := c.highest - count
+	if age >= window || c.bits&(1<<age) != 0 {
+		return playBack
+	}
+	c.bits |= 1 << age
+	return taken
+}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -62,6 +62,8 @@
 	Inherited struct{ Legacy *Legacy }
 	// Told is news of the node's other process.
 	Told struct{ News News }
+	// Siblings is how many nodes share the hosts now, this one included.
+	Siblings struct{ Nodes int }
 	// Heard is what another node said.
 	Heard struct{ Words []peers.Word }
 	// Adopted is an open connection of the elder's, under the number of a client's; its host's is asked for by Own.
@@ -99,6 +101,7 @@
 func (Inherited) input() {}
 func (Told) input()      {}
 func (Heard) input()     {}
+func (Siblings) input()  {}
 func (Adopted) input()   {}
 func (Passed) input()    {}
 func (HeirGone) input()  {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,6 +188,8 @@
 		n.inherit(in.Legacy)
 	case Told:
 		n.toldBy(in.News)
+	case Siblings:
+		n.module.Siblings(in.Nodes)
 	case Heard:
 		for _, w := range in.Words { // of a host that was never listed here nothing is kept
 			if at, known := n.byNumber[w.Host]; known {
--- a/internal/sockets/config.go
+++ b/internal/sockets/config.go
@@ -26,6 +26,7 @@
 	PeerAddr  string   `json:"peer_addr"`  // for messages among nodes; none where it is empty
 	Peers     []string `json:"peers"`      // the other nodes' addresses for them; this one's own may be among them
 	Seed      string   `json:"seed"`
+	Fleet     string   `json:"fleet"` // path of the fleet file; the node is on its own where it is empty
 	Limits    struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int64   `json:"memory_mb"`
@@ -57,6 +58,7 @@
 	c.Listen = cmp.Or(c.Listen, os.Getenv("LB_LISTEN"))
 	c.Discovery = cmp.Or(c.Discovery, os.Getenv("LB_DISCOVERY"))
 	c.Admin = cmp.Or(c.Admin, os.Getenv("LB_ADMIN_ADDR"))
+	c.Fleet = cmp.Or(c.Fleet, os.Getenv("LB_FLEET"))
 	if c.Listen == "" || c.Discovery == "" {
 		return c, fmt.Errorf("config %s: no address to listen on, or none of discovery", path)
 	}
@@ -74,7 +76,7 @@
 
 // differs tells whether something else than discovery and the list known is another here than there.
 func (c Config) differs(from Config) bool {
-	return c.Name != from.Name || c.Listen != from.Listen || c.Admin != from.Admin || c.Limits != from.Limits ||
+	return c.Name != from.Name || c.Listen != from.Listen || c.Admin != from.Admin || c.Fleet != from.Fleet || c.Limits != from.Limits ||
 		c.PeerAddr != from.PeerAddr || !slices.Equal(c.Peers, from.Peers) || !bytes.Equal(c.Settings, from.Settings)
 }
 
@@ -132,5 +134,8 @@
 	if c.PeerAddr != "" {
 		own++
 	}
+	if c.Fleet != "" {
+		own++
+	}
 	return node.Start{Rundown: r, Door: d, Known: known, Sockets: max(limit-own, 2), Toll: own}, nil
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 	"gorseledge/internal/admin"
 	"gorseledge/internal/discovery"
 	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/fleet"
 	"gorseledge/internal/handover"
 	"gorseledge/internal/node"
 	"gorseledge/internal/peers"
@@ -70,6 +72,7 @@
 	roster  *discovery.Client
 	unwatch context.CancelFunc
 	others  chan []peers.Word // to the other nodes; nil where nodes may not talk
+	fleet   *fleet.Fleet      // nil for a node on its own
 }
 
 // question is one for the core; the answer is taken at once.
@@ -120,7 +123,7 @@
 			}
 		}
 		d.log.Info().Str("admin_addr", ln.Addr().String()).Int("callers", d.config.callers()).Msg("second address")
-		return admin.Serve(ctx, ln, d.config.callers(), d.ask)
+		return admin.Serve(ctx, ln, d.config.callers(), d.ask, d.view())
 	})
 	return nil
 }
@@ -166,6 +169,42 @@
 	})
 }
 
+// join makes the node a member of its fleet, if it is to be one. It serves all the same, whatever becomes of that.
+func (d *door) join(ctx context.Context, start node.Start) error {
+	if d.config.Fleet == "" {
+		return nil
+	}
+	c, err := fleet.Read(d.config.Fleet)
+	if err != nil {
+		return err
+	}
+	d.fleet = fleet.New(c, d.config.Name, Version(), start.Rundown.Seed, start.Rundown.Nodes, d.log, func(n int) {
+		d.send(node.Siblings{Nodes: n})
+	})
+	d.group.Go(func() error { return d.fleet.Run(ctx) })
+	return nil
+}
+
+// view is what the second address shows of the fleet; nil for a node on its own.
+func (d *door) view() func() fleet.View {
+	if d.fleet == nil {
+		return nil
+	}
+	return d.fleet.View
+}
+
+// Version is the revision that this program was built from, as far as the build knows it.
+func Version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(len(s.Value), 12)]
+			}
+		}
+	}
+	return ""
+}
+
 // Signals are what the platform asks of a node that runs.
 type Signals struct {
 	Leave  <-chan os.Signal
@@ -178,6 +217,14 @@
 	if err != nil {
 		return err
 	}
+	if c.Fleet != "" { // before any door is open
+		if _, err := fleet.Read(c.Fleet); err != nil {
+			return err
+		}
+		if c.Name == "" {
+			return errors.New("fleet: a member has a name")
+		}
+	}
 	p, err := pairUp(ctx, c, log)
 	if err != nil {
 		return err
@@ -191,6 +238,10 @@
 		last:  1, began: began, base: float64(began.UnixNano()) / 1e9, timer: time.NewTimer(0),
 		roster: discovery.New(c.Discovery), unwatch: func() {}}
 	d.core = node.New(d.now(), start)
+	if err := d.join(ctx, start); err != nil {
+		d.part()
+		return err
+	}
 	if err := d.second(ctx); err != nil {
 		d.part()
 		return err
@@ -322,6 +373,9 @@
 			return d.ctx.Err()
 		case <-stop:
 			d.log.Info().Msg("asked to leave")
+			if d.fleet != nil && !d.given {
+				d.fleet.Leave()
+			}
 			in = node.Leave{}
 		case <-d.timer.C:
 			in = node.Tick{}
--- a/internal/sockets/twin.go
+++ b/internal/sockets/twin.go
@@ -215,6 +215,9 @@
 // letIn begins to accept clients, and to be found by an heir.
 func (d *door) letIn() {
 	d.opened = true
+	if d.fleet != nil {
+		d.fleet.Ready(true)
+	}
 	ln := d.ln
 	d.group.Go(func() error { return d.accept(ln) })
 	d.offer()
@@ -334,6 +337,9 @@
 		return node.Asked{What: node.Claim}
 	case w.said.Ask == handover.Take && w.twin == d.heir:
 		d.given = true
+		if d.fleet != nil { // one member throughout: the heir's from here on
+			d.fleet.Hold(true)
+		}
 		d.ln.SetDeadline(time.Unix(1, 0)) // who waits is the heir's
 		return node.Asked{What: node.Take}
 	}
@@ -393,6 +399,9 @@
 		d.log.Info().AnErr("why", why).Msg("the heir's end of the hand-over is closed")
 		if d.given {
 			d.given = false
+			if d.fleet != nil {
+				d.fleet.Hold(false)
+			}
 			d.ln.SetDeadline(time.Time{})
 			d.nudge()
 			d.offer()
