--- a/cmd/gorselab/main.go
+++ b/cmd/gorselab/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -17,17 +18,28 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := root().ExecuteContext(ctx); err != nil {
+	err := root().ExecuteContext(ctx)
+	stop()
+	var broken brokenRules
+	switch {
+	case errors.As(err, &broken):
+		fmt.Fprintln(os.Stderr, "gorselab:", err)
+		os.Exit(1)
+	case err != nil:
 		fmt.Fprintln(os.Stderr, "gorselab:", err)
 		os.Exit(2)
 	}
 }
 
+// brokenRules says how often something was broken that must hold.
+type brokenRules int
+
+func (b brokenRules) Error() string { return fmt.Sprintf("rules broken: %d times", int(b)) }
+
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "gorselab", Short: "Plays fleets on a virtual clock and keeps what came of it (simulated)",
 		SilenceUsage: true, SilenceErrors: true}
-	top.AddCommand(emulate(), sweep(), compare())
+	top.AddCommand(emulate(), sweep(), compare(), fleet())
 	return top
 }
 
@@ -70,7 +82,7 @@
 		}
 	}
 	if n > 0 {
-		return fmt.Errorf("rules broken: %d times", n)
+		return brokenRules(n)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/rig/relay.go
@@ -0,0 +1,204 @@
+package rig
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Way is what becomes of what goes from one process to another.
+type Way struct {
+	Cut     bool
+	Loss    float64 // part of the datagrams that is lost
+	Delay   float64 // seconds, for datagrams and streams
+	Jitter  float64 // seconds more at the most, drawn: datagrams overtake one another
+	Repeat  float64 // part of the datagrams that comes twice
+	CutAt   int64   // a stream breaks off after so many bytes; 0 for never
+	PerByte float64 // seconds that a byte of a stream takes
+}
+
+// relay carries what one process sends another, datagrams and streams, by a way that may change at any time.
+type relay struct {
+	in      *net.UDPConn
+	streams *net.TCPListener
+	to      string // the receiver's own address
+	mu      sync.Mutex
+	way     Way
+	rand    *rand.Rand
+	conns   map[net.Conn]bool
+	closed  bool
+	group   sync.WaitGroup
+	passed  int
+	lost    int
+}
+
+// newRelay opens a relay to an address, on one port for both.
+func newRelay(to string, seed uint64) (*relay, error) {
+	for try := 0; ; try++ {
+		ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return nil, err
+		}
+		in, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: ln.Addr().(*net.TCPAddr).Port})
+		if err != nil {
+			ln.Close()
+			if try < 20 {
+				continue
+			}
+			return nil, err
+		}
+		r := &relay{in: in, streams: ln, to: to, rand: rand.New(rand.NewPCG(seed, 5)), conns: map[net.Conn]bool{}}
+		r.group.Go(r.datagrams)
+		r.group.Go(r.accept)
+		return r, nil
+	}
+}
+
+func (r *relay) address() string { return r.in.LocalAddr().String() }
+
+// set changes the way; streams that are open break where it is cut.
+func (r *relay) set(change func(*Way)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.way)
+	if r.way.Cut {
+		for c := range r.conns {
+			c.Close()
+		}
+	}
+}
+
+func (r *relay) datagrams() {
+	to, err := net.ResolveUDPAddr("udp", r.to)
+	if err != nil {
+		return
+	}
+	out, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	var late sync.WaitGroup
+	defer late.Wait()
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := r.in.Read(buf)
+		if err != nil {
+			r.mu.Lock()
+			closed := r.closed
+			r.mu.Unlock()
+			if closed {
+				return
+			}
+			continue
+		}
+		r.mu.Lock()
+		w := r.way
+		copies := 1
+		if w.Cut || r.rand.Float64() < w.Loss {
+			copies = 0
+			r.lost++
+		} else if r.passed++; r.rand.Float64() < w.Repeat {
+			copies = 2
+		}
+		var delays []time.Duration
+		for range copies {
+			delays = append(delays, time.Duration((w.Delay+w.Jitter*r.rand.Float64())*1e9))
+		}
+		r.mu.Unlock()
+		for _, delay := range delays {
+			if delay <= 0 {
+				out.WriteToUDP(buf[:n], to)
+				continue
+			}
+			text := append([]byte(nil), buf[:n]...)
+			late.Add(1)
+			time.AfterFunc(delay, func() {
+				defer late.Done()
+				out.WriteToUDP(text, to)
+			})
+		}
+	}
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.streams.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		cut := r.way.Cut || r.closed
+		r.mu.Unlock()
+		if cut {
+			c.Close()
+			continue
+		}
+		r.group.Go(func() { r.stream(c) })
+	}
+}
+
+func (r *relay) stream(c net.Conn) {
+	far, err := net.DialTimeout("tcp", r.to, time.Second)
+	if err != nil {
+		c.Close()
+		return
+	}
+	r.mu.Lock()
+	r.conns[c], r.conns[far] = true, true
+	if r.closed {
+		c.Close()
+		far.Close()
+	}
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { r.copy(far, c) })
+	both.Go(func() { r.copy(c, far) })
+	both.Wait()
+	r.mu.Lock()
+	delete(r.conns, c)
+	delete(r.conns, far)
+	r.mu.Unlock()
+}
+
+// copy carries one direction of a stream.
+func (r *relay) copy(to, from net.Conn) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 16<<10)
+	for total := int64(0); ; {
+		n, err := from.Read(buf)
+		r.mu.Lock()
+		w := r.way
+		r.mu.Unlock()
+		if w.CutAt > 0 && total+int64(n) >= w.CutAt {
+			to.Write(buf[:max(w.CutAt-total, 0)])
+			return
+		}
+		if wait := w.Delay + w.PerByte*float64(n); wait > 0 && n > 0 {
+			time.Sleep(time.Duration(wait * 1e9))
+		}
+		total += int64(n)
+		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
+			if err == io.EOF {
+				return
+			}
+			return
+		}
+	}
+}
+
+// close ends the relay and waits until nothing of it runs.
+func (r *relay) close() {
+	r.mu.Lock()
+	r.closed = true
+	for c := range r.conns {
+		c.Close()
+	}
+	r.mu.Unlock()
+	r.in.Close()
+	r.streams.Close()
+	r.group.Wait()
+}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,575 @@
+package rig
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
+
+	"gorseledge/internal/fleet"
+	"gorseledge/internal/rig/standin"
+)
+
+const (
+	leaveWithin = 5 * time.Second // for a process that was asked to leave, as the platform gives it
+	meetWithin  = 60.0            // seconds, for all to find each other at the start
+	look        = 100 * time.Millisecond
+	timeout     = 2.0 // of a flow, in seconds
+	grace       = 5.0 // for an answer that is late, which is judged then
+	flowLines   = 4
+)
+
+// Options are how a script is played.
+type Options struct {
+	Program  string // the built node
+	Seed     uint64
+	Dir      string            // for the nodes' directories
+	History  string            // file; none where it is empty
+	Progress func(line string) // told as it goes
+}
+
+// Rig is a run under way.
+type Rig struct {
+	script  *Script
+	program string
+	dir     string
+	history *history
+	nodes   []*node
+	relays  map[[2]int]*relay
+	hosts   *standin.Hosts
+	roster  *standin.Discovery
+	client  *http.Client
+	flows   sync.WaitGroup
+	rand    *rand.Rand
+	mu      sync.Mutex // over rand and lost
+	last    map[int][]byte
+}
+
+// Result is what came of a run.
+type Result struct {
+	Seed    uint64
+	Faults  []Fault
+	Events  []Event
+	Breaks  []Break
+	Calls   int // flows
+	Answers map[string]int
+	Met     float64 // seconds until all had found each other
+	Agreed  float64 // seconds after the last fault until all agreed
+	Nodes   int
+}
+
+// Summary is the last line of a run.
+func (r *Result) Summary() string {
+	return fmt.Sprintf("SEED %d: %d calls, %d faults, broken %d", r.Seed, r.Calls, len(r.Faults), len(r.Breaks))
+}
+
+// Play plays a script once. Whatever happens, nothing that it started is left when it returns.
+func Play(ctx context.Context, s *Script, o Options) (res *Result, err error) {
+	h, err := newHistory(o.History)
+	if err != nil {
+		return nil, err
+	}
+	r := &Rig{script: s, program: o.Program, dir: o.Dir, history: h, relays: map[[2]int]*relay{},
+		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+		rand:   rand.New(rand.NewPCG(o.Seed, 11)), last: map[int][]byte{}}
+	defer func() {
+		r.close()
+		whole := res != nil && err == nil
+		if cerr := h.close(whole); err == nil {
+			err = cerr
+		}
+	}()
+	if err := r.raise(o.Seed); err != nil {
+		return nil, err
+	}
+	res = &Result{Seed: o.Seed, Faults: s.Draw(o.Seed), Nodes: s.Nodes, Answers: map[string]int{}}
+	flowing, stopFlows := context.WithCancel(ctx)
+	defer stopFlows()
+	ticks := r.tell(flowing, o.Progress)
+	defer ticks()
+	if res.Met, err = r.agree(ctx, meetWithin); err != nil {
+		return nil, err
+	}
+	if res.Met < 0 {
+		return nil, fmt.Errorf("the nodes have not found each other within %g s: %s", meetWithin, r.disagreement(ctx))
+	}
+	r.say(o.Progress, "all %d have found each other after %.1f s", s.Nodes, res.Met)
+	r.flows.Go(func() { r.traffic(flowing, ctx) })
+	if err := r.befall(ctx, res.Faults, o.Progress); err != nil {
+		return nil, err
+	}
+	if res.Agreed, err = r.agree(ctx, s.Settle); err != nil {
+		return nil, err
+	}
+	if res.Agreed >= 0 {
+		r.history.add(Event{What: "agree", Note: fmt.Sprintf("%.2f s after the last fault", res.Agreed)})
+	}
+	stopFlows()
+	r.flows.Wait()
+	disagreement := ""
+	if res.Agreed < 0 {
+		disagreement = r.disagreement(ctx)
+	}
+	res.Events = h.all()
+	for _, e := range res.Events {
+		if e.What == "flow" {
+			res.Calls++
+			res.Answers[e.Answer]++
+		}
+	}
+	res.Breaks = Judge(s, res, disagreement)
+	return res, nil
+}
+
+func (r *Rig) say(progress func(string), format string, args ...any) {
+	if progress != nil {
+		progress(fmt.Sprintf(format, args...))
+	}
+}
+
+// raise starts everything.
+func (r *Rig) raise(seed uint64) (err error) {
+	if r.hosts, err = standin.StartHosts(r.script.Hosts); err != nil {
+		return err
+	}
+	if r.roster, err = standin.StartDiscovery(r.hosts.List(1)); err != nil {
+		return err
+	}
+	for i := range r.script.Nodes {
+		n := &node{rig: r, i: i, dir: filepath.Join(r.dir, fmt.Sprintf("n%d", i))}
+		for _, at := range []*string{&n.client, &n.admin, &n.fleet} {
+			if *at, err = free(i); err != nil {
+				return err
+			}
+		}
+		r.nodes = append(r.nodes, n)
+	}
+	for i := range r.nodes {
+		for k := range r.nodes {
+			if i != k {
+				if r.relays[[2]int{i, k}], err = newRelay(r.nodes[k].fleet, seed*1000+uint64(i*100+k)); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	for _, n := range r.nodes {
+		if err := r.prepare(n, seed); err != nil {
+			return err
+		}
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// free gives a free address of node i's own: TCP and UDP are asked for on the same port.
+func free(i int) (string, error) {
+	host := fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200)
+	for range 50 {
+		ln, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return "", err
+		}
+		at := ln.Addr().String()
+		c, err := net.ListenPacket("udp", at)
+		ln.Close()
+		if err == nil {
+			c.Close()
+			return at, nil
+		}
+	}
+	return "", errors.New("no free address")
+}
+
+// prepare writes a node's directory: its config and its fleet file.
+func (r *Rig) prepare(n *node, seed uint64) error {
+	if err := os.MkdirAll(n.dir, 0o755); err != nil {
+		return err
+	}
+	file := fleet.Config{Fleet: fmt.Sprintf("rig-%d", seed), Address: n.fleet, Period: r.script.Period,
+		Key: hex.EncodeToString([]byte("a key of the rig, for its own nodes")), Via: map[string]string{}}
+	if r.script.Zones > 0 {
+		file.Zone = string(rune('a' + n.i%r.script.Zones))
+	}
+	for k, other := range r.nodes {
+		if k < 3 {
+			file.Join = append(file.Join, other.fleet)
+		}
+		if k != n.i {
+			file.Via[other.fleet] = r.relays[[2]int{n.i, k}].address()
+		}
+	}
+	text, err := toml.Marshal(file)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(n.dir, "fleet.toml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	config := map[string]any{
+		"name": n.name(), "listen": n.client, "admin_addr": n.admin, "discovery": r.roster.Address(), "fleet": path,
+		"seed": fmt.Sprintf("%016x", seed*31+uint64(n.i)), "limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
+		"known": nil, "settings": map[string]any{
+			"family_info": map[string]any{"mode": "proxy"}, "granularity_us": 4000, "siblings": len(r.nodes),
+			"zones": []string{"a"}, "limits": map[string]any{"dial_timeout_us": 1000000, "max_connects": 3,
+				"max_retry_after_us": 2000000, "retry_after": true},
+			"service_types": []any{map[string]any{"name": "chat", "effect": "repeatable", "give_up_us": 2000000}}}}
+	if text, err = json.Marshal(config); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(n.dir, "config.json"), text, 0o600)
+}
+
+// close ends everything that the rig started and waits for it.
+func (r *Rig) close() {
+	for _, n := range r.nodes {
+		n.kill()
+	}
+	r.flows.Wait()
+	for _, l := range r.relays {
+		l.close()
+	}
+	if r.roster != nil {
+		r.roster.Close()
+	}
+	if r.hosts != nil {
+		r.hosts.Close()
+	}
+	r.client.CloseIdleConnections()
+}
+
+// view asks a node for what it knows of its fleet.
+func (r *Rig) view(ctx context.Context, n *node) (v fleet.View, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin+"/-/members", nil)
+	if err != nil {
+		return v, err
+	}
+	res, err := r.client.Do(req)
+	if err != nil {
+		return v, err
+	}
+	defer res.Body.Close()
+	err = json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(&v)
+	return v, err
+}
+
+// disagreement tells who does not hold exactly those that run for living, and where; nothing where all agree.
+func (r *Rig) disagreement(ctx context.Context) string {
+	up := map[string]bool{}
+	for _, n := range r.nodes {
+		up[n.name()] = n.up()
+	}
+	found := make([]string, len(r.nodes))
+	var all sync.WaitGroup
+	for i, n := range r.nodes {
+		if !up[n.name()] {
+			continue
+		}
+		all.Go(func() {
+			v, err := r.view(ctx, n)
+			if err != nil {
+				found[i] = fmt.Sprintf("%s does not answer: %v", n.name(), err)
+				return
+			}
+			seen := map[string]bool{}
+			for _, m := range v.Members {
+				if alive := m.State == "alive"; alive != up[m.Name] {
+					found[i] = fmt.Sprintf("%s holds %s for %s", n.name(), m.Name, m.State)
+				}
+				seen[m.Name] = true
+			}
+			for name, runs := range up {
+				if runs && !seen[name] {
+					found[i] = fmt.Sprintf("%s does not know %s", n.name(), name)
+				}
+			}
+		})
+	}
+	all.Wait()
+	for _, text := range found {
+		if text != "" {
+			return text
+		}
+	}
+	return ""
+}
+
+// agree waits until all agree and gives how long that took, -1 where it was too long.
+func (r *Rig) agree(ctx context.Context, within float64) (float64, error) {
+	for from := r.history.now(); ; {
+		if r.disagreement(ctx) == "" && ctx.Err() == nil {
+			return r.history.now() - from, nil
+		}
+		if r.history.now()-from > within {
+			return -1, nil
+		}
+		select {
+		case <-time.After(look):
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// traffic has clients come, each to a node that runs, until the first context ends; who is there stays to the end.
+func (r *Rig) traffic(ctx, whole context.Context) {
+	if r.script.Flows <= 0 {
+		return
+	}
+	for id := 1; ; id++ {
+		r.mu.Lock()
+		gap := r.rand.ExpFloat64() / r.script.Flows
+		n := r.nodes[r.rand.IntN(len(r.nodes))]
+		key := r.rand.Uint64()
+		r.mu.Unlock()
+		select {
+		case <-time.After(time.Duration(gap * 1e9)):
+		case <-ctx.Done():
+			return
+		}
+		if !n.up() { // the front has noticed
+			continue
+		}
+		r.flows.Go(func() {
+			began := r.history.now()
+			f := standin.Play(whole, n.client, fmt.Sprintf("%08x", id), key, timeout, grace, flowLines, 250*time.Millisecond)
+			if whole.Err() != nil { // the run is broken off
+				return
+			}
+			r.history.add(Event{What: "flow", Node: n.i, Answer: string(f.Answer), Count: f.Answers, Ended: f.Ended, Began: began})
+		})
+	}
+}
+
+// befall brings the faults about, in their order, and waits until the last is over.
+func (r *Rig) befall(ctx context.Context, faults []Fault, progress func(string)) error {
+	outer := ctx
+	group, ctx := errgroup.WithContext(outer)
+	from := time.Now()
+	wait := func(seconds float64) bool {
+		select {
+		case <-time.After(time.Until(from.Add(time.Duration(seconds * 1e9)))):
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for _, f := range faults {
+		if !wait(f.At) {
+			break
+		}
+		r.history.add(Event{What: "fault", Fault: &f})
+		r.say(progress, "%5.1f s  %s", f.At, f)
+		group.Go(func() error {
+			if err := r.bring(f, false); err != nil {
+				return err
+			}
+			if !wait(f.At + f.For) {
+				return nil
+			}
+			err := r.bring(f, true)
+			r.history.add(Event{What: "over", Fault: &f})
+			return err
+		})
+	}
+	wait(r.script.Lasts)
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return outer.Err()
+}
+
+func (f Fault) String() string {
+	text := fmt.Sprintf("%s %v", f.Kind, f.Nodes)
+	if kinds[f.Kind].way {
+		arrow := "to"
+		if f.Both {
+			arrow = "both ways"
+		}
+		if text += " " + arrow; len(f.To) > 0 {
+			text += fmt.Sprintf(" %v", f.To)
+		} else {
+			text += " all"
+		}
+	}
+	if f.By > 0 {
+		text += fmt.Sprintf(" by %g", f.By)
+	}
+	if f.For > 0 {
+		text += fmt.Sprintf(" for %g s", f.For)
+	}
+	return text
+}
+
+// bring begins a fault, or ends it.
+func (r *Rig) bring(f Fault, over bool) error {
+	if kinds[f.Kind].way {
+		r.ways(f, func(w *Way) {
+			by := f.By
+			if over {
+				by = 0
+			}
+			switch f.Kind {
+			case "cut":
+				w.Cut = !over
+			case "loss":
+				w.Loss = by
+			case "delay":
+				w.Delay, w.Jitter = by, by
+			case "repeat":
+				w.Repeat = by
+			}
+		})
+		return nil
+	}
+	for _, i := range f.Nodes {
+		n := r.nodes[i]
+		var err error
+		switch {
+		case f.Kind == "stop":
+			n.stop(!over)
+		case f.Kind == "upgrade" && !over:
+			err = n.upgrade()
+		case f.Kind == "garbage" && !over:
+			err = r.garbage(n)
+		case over && (f.Kind == "kill" || f.Kind == "wipe" || f.Kind == "restart"):
+			if f.For > 0 || f.Kind == "restart" {
+				err = n.start()
+			}
+		case f.Kind == "kill":
+			n.kill()
+		case f.Kind == "wipe":
+			n.kill()
+			if err = os.RemoveAll(n.dir); err == nil {
+				err = r.prepare(n, r.seed())
+			}
+		case f.Kind == "restart":
+			n.leave()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ways changes the ways of a fault.
+func (r *Rig) ways(f Fault, change func(*Way)) {
+	for _, from := range f.Nodes {
+		to := f.To
+		if len(to) == 0 {
+			for k := range r.nodes {
+				to = append(to, k)
+			}
+		}
+		for _, k := range to {
+			if k == from {
+				continue
+			}
+			r.relays[[2]int{from, k}].set(change)
+			if f.Both {
+				r.relays[[2]int{k, from}].set(change)
+			}
+		}
+	}
+}
+
+// garbage sends a node what means nothing.
+func (r *Rig) garbage(n *node) error {
+	c, err := net.Dial("udp", n.fleet)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range 200 {
+		text := make([]byte, r.rand.IntN(400))
+		for i := range text {
+			text[i] = byte(r.rand.Uint32())
+		}
+		if len(text) > 0 && r.rand.IntN(2) == 0 {
+			text[0] = 1 // of the right version
+		}
+		c.Write(text) // it may have been killed: then nobody hears
+	}
+	return nil
+}
+
+// seed is the run's, as the fleet's id tells it.
+func (r *Rig) seed() uint64 {
+	var c fleet.Config
+	for _, n := range r.nodes {
+		if text, err := os.ReadFile(filepath.Join(n.dir, "fleet.toml")); err == nil && toml.Unmarshal(text, &c) == nil {
+			var seed uint64
+			fmt.Sscanf(c.Fleet, "rig-%d", &seed)
+			return seed
+		}
+	}
+	return 0
+}
+
+// tell says each second how it goes, until the function that it gives is called.
+func (r *Rig) tell(ctx context.Context, progress func(string)) func() {
+	if progress == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-time.After(2 * time.Second):
+			case <-ctx.Done():
+				return
+			}
+			least, most, flows, up := len(r.nodes)+1, 0, 0, 0
+			for _, n := range r.nodes {
+				if !n.up() {
+					continue
+				}
+				up++
+				v, err := r.view(ctx, n)
+				if err != nil {
+					continue
+				}
+				alive := 0
+				for _, m := range v.Members {
+					if m.State == "alive" {
+						alive++
+					}
+				}
+				least, most = min(least, alive), max(most, alive)
+			}
+			for _, e := range r.history.all() {
+				if e.What == "flow" {
+					flows++
+				}
+			}
+			if ctx.Err() == nil && most > 0 {
+				progress(fmt.Sprintf("%5.1f s  %d of %d run, each sees %d to %d alive, %d flows", r.history.now(), up, len(r.nodes),
+					least, most, flows))
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/rig/timeline.go
@@ -0,0 +1,96 @@
+package rig
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+var (
+	grey   = color.RGBA{160, 160, 160, 255}
+	blue   = color.RGBA{60, 100, 200, 255}
+	orange = color.RGBA{230, 140, 20, 255}
+	red    = color.RGBA{200, 30, 30, 255}
+	green  = color.RGBA{40, 150, 60, 255}
+)
+
+// Timeline draws a run as SVG: a row a node with the faults that befell it, and above its row who was told what of
+// it, and when: suspicions, deaths, and that it lives again.
+func Timeline(path string, r *Result) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("seed %d: faults, and what the others held of each node", r.Seed)
+	p.X.Label.Text = "seconds"
+	names := make([]string, r.Nodes)
+	for i := range names {
+		names[i] = fmt.Sprintf("n%d", i)
+	}
+	p.NominalY(names...)
+	p.Y.Min, p.Y.Max = -0.6, float64(r.Nodes)
+	row := func(from, to float64, node int, lift float64, c color.Color, width vg.Length) error {
+		l, err := plotter.NewLine(plotter.XYs{{X: from, Y: float64(node) + lift}, {X: to, Y: float64(node) + lift}})
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width = c, width
+		p.Add(l)
+		return nil
+	}
+	end := last(r.Events)
+	began := map[string]float64{}
+	for _, e := range r.Events {
+		if e.Fault == nil {
+			continue
+		}
+		key := fmt.Sprintf("%v", *e.Fault)
+		if e.What == "fault" {
+			began[key] = e.At
+			continue
+		}
+		c, lift := color.Color(grey), 0.0
+		if kinds[e.Fault.Kind].way {
+			c, lift = blue, -0.15
+		}
+		for _, n := range e.Fault.Nodes {
+			if err := row(began[key], max(e.At, began[key]+end/500), n, lift, c, vg.Points(5)); err != nil {
+				return err
+			}
+		}
+	}
+	told := map[string]plotter.XYs{}
+	for _, e := range r.Events {
+		if e.What == "member" && number(e.Member) >= 0 && number(e.Member) < r.Nodes {
+			lift := 0.2 + 0.6*float64(e.Node)/float64(r.Nodes)
+			told[e.State] = append(told[e.State], plotter.XY{X: e.At, Y: float64(number(e.Member)) + lift})
+		}
+	}
+	for state, c := range map[string]color.Color{"alive": green, "suspect": orange, "dead": red, "left": blue} {
+		if len(told[state]) == 0 {
+			continue
+		}
+		s, err := plotter.NewScatter(told[state])
+		if err != nil {
+			return err
+		}
+		s.GlyphStyle = draw.GlyphStyle{Color: c, Radius: vg.Points(1.5), Shape: draw.CircleGlyph{}}
+		p.Add(s)
+		p.Legend.Add(state, s)
+	}
+	p.Legend.Top = true
+	canvas := vgsvg.New(10*vg.Inch, vg.Length(r.Nodes)*0.4*vg.Inch+1.5*vg.Inch)
+	p.Draw(draw.New(canvas))
+	var text strings.Builder
+	if _, err := canvas.WriteTo(&text); err != nil {
+		return err
+	}
+	if err := os.WriteFile(path+".part", []byte(text.String()), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".part", path)
+}
