One of many nodes that holds little waits connects out; draws are hashed evenly; command line; rig tests

A threshold in place of the draw by the client's hash: with it a tenth of the clients still sent five connects each. Draws come from xxhash of seed and counter: those of FNV that follow each other were not independent.

--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -11,12 +12,12 @@
 )
 
 const (
-	version    = 1  // first byte of a message: nodes of two versions ignore each other
-	macLen     = 16 // bytes of HMAC-SHA256 that go along
-	mostSize   = 256
-	mostBody   = 208 // bytes of a message itself; the rest proves that it is the fleet's and new
-	window     = 64  // messages that may come late or out of order
-	mostWindow = 1 << 15
+	version   = 1  // first byte of a message: nodes of two versions ignore each other
+	macLen    = 16 // bytes of HMAC-SHA256 that go along
+	mostSize  = 256
+	mostBody  = 208 // bytes of a message itself; the rest proves that it is the fleet's and new
+	window    = 64  // messages that may come late or out of order
+	mostNames = 1 << 15
 )
 
 // seal closes messages and opens them: a keyed MAC, the fleet's id and a count that grows guard against strangers,
@@ -25,24 +26,19 @@
 	fleet []byte
 	keys  [][]byte
 	count uint64
-	seen  map[sender]*counts
+	seen  map[string][]counts // by name, of the newest two processes
 }
 
-// sender is one process.
-type sender struct {
-	name  string
-	start uint64
-}
-
-// counts are the messages seen of one: the highest and a bit for each of those before it.
+// counts are the messages seen of one process: the highest and a bit for each of those before it.
 type counts struct {
+	start   uint64
 	highest uint64
 	bits    uint64
 }
 
 func newSeal(c Config) *seal {
 	sum := sha256.Sum256([]byte(c.Fleet))
-	return &seal{fleet: sum[:4], keys: c.keys, seen: map[sender]*counts{}}
+	return &seal{fleet: sum[:4], keys: c.keys, seen: map[string][]counts{}}
 }
 
 func mac(key []byte, s *wire.Sealed) []byte {
@@ -104,24 +100,27 @@
 	if proto.Unmarshal(sealed.Body, m) != nil || m.From == "" {
 		return nil, garbage
 	}
-	return m, s.fresh(sender{m.From, m.Start}, sealed.Count)
+	return m, s.fresh(m.From, m.Start, sealed.Count)
 }
 
-// fresh notes a message's count; one that was seen, or is older than any that may be late, is played again.
-func (s *seal) fresh(from sender, count uint64) refusal {
-	c := s.seen[from]
-	if c == nil {
-		if len(s.seen) >= mostWindow {
-			return forgotten
-		}
-		for k := range s.seen { // of an older process nothing new can come, but for the word that it is replaced
-			if k.name == from.name && k.start+uint64(3600e6) < from.start {
-				delete(s.seen, k)
-			}
+// fresh notes a message's count; one that was seen, or is older than any that may be late, is played again. Of the
+// processes that went by a name the newest two are kept: the last but one may still run, and learns that it is replaced.
+func (s *seal) fresh(name string, start, count uint64) refusal {
+	of := s.seen[name]
+	at := slices.IndexFunc(of, func(c counts) bool { return c.start == start })
+	switch {
+	case at < 0 && len(of) == 0 && len(s.seen) >= mostNames:
+		return forgotten
+	case at < 0 && len(of) == 2 && start < min(of[0].start, of[1].start):
+		return playBack
+	case at < 0:
+		if len(of) == 2 {
+			of = slices.DeleteFunc(of, func(c counts) bool { return c.start == min(of[0].start, of[1].start) })
 		}
-		s.seen[from] = &counts{highest: count, bits: 1}
+		s.seen[name] = append(of, counts{start, count, 1})
 		return taken
 	}
+	c := &of[at]
 	if count > c.highest {
 		c.bits = c.bits<<min(count-c.highest, 64) | 1
 		c.highest = count
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -99,7 +99,7 @@
 
 // New gives a member that knows nobody yet; the first Tick is due at once.
 func New(now float64, c Config) *Members {
-	c.Helpers = max(c.Helpers, 1)
+	c.Helpers, c.Plain = max(c.Helpers, 1), c.Plain || hasty
 	m := &Members{Config: c, now: now, rand: rand.New(rand.NewPCG(c.Seed, c.Self.Start)), byName: map[string]*member{},
 		helping: map[uint64]helping{}, living: 1, heardAt: now, judgedAt: now, accusedAt: math.Inf(-1), pieces: mostPieces}
 	m.self = &member{Member: c.Self}
--- /dev/null
+++ b/internal/membership/patient.go
@@ -0,0 +1,5 @@
+//go:build !hasty
+
+package membership
+
+const hasty = false
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -16,6 +16,9 @@
 // suspicionTime gives the shortest and the longest time to answer, in a fleet of n.
 func (m *Members) suspicionTime() (least, most float64) {
 	least = suspicionPeriods * max(1, math.Log10(float64(m.living))) * m.Period
+	if hasty {
+		return m.Period / 10, m.Period / 10
+	}
 	if m.Plain {
 		return least, least
 	}
--- /dev/null
+++ b/internal/rig/play_test.go
@@ -0,0 +1,177 @@
+package rig
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Built once for all tests: the node, and one with a core that gives nobody time to answer.
+var program, hasty string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "rig")
+	if err != nil {
+		panic(err)
+	}
+	program, hasty = filepath.Join(dir, "gorseledge"), filepath.Join(dir, "hasty")
+	code := 1
+	if compile(program, "-race") && compile(hasty, "-tags=hasty") {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func compile(to string, flags ...string) bool {
+	c := exec.Command("go", append(append([]string{"build"}, flags...), "-o", to, "gorseledge/cmd/gorseledge")...)
+	c.Stderr = os.Stderr
+	return c.Run() == nil
+}
+
+// play plays a script's text and fails where a node's log tells of a race, or a process is left.
+func play(t *testing.T, program, text string, seed uint64) *Result {
+	t.Helper()
+	s, err := Read([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	r, err := Play(t.Context(), s, Options{Program: program, Seed: seed, Dir: dir, History: filepath.Join(dir, "history.jsonl")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	logs, _ := filepath.Glob(filepath.Join(dir, "n*", "log"))
+	for _, log := range logs {
+		if body, _ := os.ReadFile(log); strings.Contains(string(body), "DATA RACE") || strings.Contains(string(body), "panic:") {
+			t.Errorf("%s:\n%s", log, body)
+		}
+	}
+	return r
+}
+
+// Five processes through a stop, a cut in one direction, a kill with its directory wiped, garbage and an upgrade:
+// nobody blameless is held for dead, no flow is without its one answer, all agree in the end.
+func TestPlay(t *testing.T) {
+	r := play(t, program, `
+nodes = 5
+period = 0.25
+lasts = 16
+settle = 60
+flows = 20
+
+[[fault]]
+at = 0.5
+kind = "stop"
+nodes = [1]
+for = 0.5
+
+[[fault]]
+at = 2
+kind = "cut"
+nodes = [0]
+to = [2]
+for = 5
+
+[[fault]]
+at = 3
+kind = "garbage"
+nodes = [3]
+
+[[fault]]
+at = 4
+kind = "upgrade"
+nodes = [4]
+
+[[fault]]
+at = 9
+kind = "wipe"
+nodes = [3]
+for = 1
+
+[[fault]]
+at = 12
+kind = "restart"
+nodes = [2]
+for = 2
+`, 3)
+	for _, b := range r.Breaks {
+		t.Error(b)
+	}
+	if r.Calls < 100 || r.Answers["up"] < r.Calls/2 {
+		t.Errorf("%d flows, %v", r.Calls, r.Answers)
+	}
+	if len(r.Faults) != 6 || r.Agreed < 0 {
+		t.Errorf("%d faults, agreed after %g s", len(r.Faults), r.Agreed)
+	}
+}
+
+// A core that gives nobody time to answer is caught: a process stopped for two periods is held for dead.
+func TestHastyIsCaught(t *testing.T) {
+	r := play(t, hasty, `
+nodes = 4
+period = 0.5
+lasts = 8
+settle = 30
+flows = 2
+
+[[fault]]
+at = 1
+kind = "stop"
+nodes = [1]
+for = 1.9
+
+[[fault]]
+at = 4
+kind = "stop"
+nodes = [2]
+for = 1.9
+`, 1)
+	for _, b := range r.Breaks {
+		if b.Rule == RuleDeath {
+			return
+		}
+	}
+	t.Errorf("nothing was caught: %v", r.Breaks)
+}
+
+// An interrupt leaves no process and no half-written file.
+func TestInterrupt(t *testing.T) {
+	s, err := Read([]byte("nodes = 3\nlasts = 60\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	ctx, cancel := context.WithCancel(t.Context())
+	met := make(chan bool, 100)
+	done := make(chan error, 1)
+	var pids string
+	go func() {
+		_, err := Play(ctx, s, Options{Program: program, Seed: 1, Dir: dir, History: filepath.Join(dir, "history.jsonl"),
+			Progress: func(string) { met <- true }})
+		done <- err
+	}()
+	select {
+	case <-met:
+	case <-time.After(time.Minute):
+		t.Fatal("the nodes have not met")
+	}
+	out, _ := exec.Command("pgrep", "-f", program).Output()
+	pids = string(out)
+	cancel()
+	if err := <-done; err == nil {
+		t.Error("it says that all went well")
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, "history*")); len(left) > 0 {
+		t.Errorf("left: %v", left)
+	}
+	for _, pid := range strings.Fields(pids) {
+		if cmdline, err := os.ReadFile("/proc/" + pid + "/cmdline"); err == nil && strings.HasPrefix(string(cmdline), program) {
+			t.Errorf("process %s is left", pid)
+		}
+	}
+}
--- a/internal/sockets/config.go
+++ b/internal/sockets/config.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/fleet"
 	"gorseledge/internal/line"
 	"gorseledge/internal/node"
 	"gorseledge/internal/peers"
@@ -32,6 +33,7 @@
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
+	path     string
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -43,10 +45,9 @@
 	mostCallers    = 32
 )
 
-// ReadConfig reads the file that LB_CONFIG names; the other variables stand in for what it lacks.
-func ReadConfig() (Config, error) {
-	var c Config
-	path := os.Getenv("LB_CONFIG")
+// ReadConfig reads a node's config; the environment's variables stand in for what it lacks.
+func ReadConfig(path string) (Config, error) {
+	c := Config{path: path}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return c, fmt.Errorf("config: %w", err)
@@ -74,6 +75,30 @@
 	return c, nil
 }
 
+// Check reads a config as a start would, with the fleet file that it names, and starts nothing.
+func Check(path string) error {
+	c, err := ReadConfig(path)
+	if err == nil {
+		_, err = c.start()
+	}
+	if err == nil {
+		_, err = c.member()
+	}
+	return err
+}
+
+// member reads the fleet file, if there is one.
+func (c Config) member() (fleet.Config, error) {
+	if c.Fleet == "" {
+		return fleet.Config{}, nil
+	}
+	f, err := fleet.Read(c.Fleet)
+	if err == nil && c.Name == "" {
+		err = errors.New("fleet: a member has a name, and the config gives none")
+	}
+	return f, err
+}
+
 // differs tells whether something else than discovery and the list known is another here than there.
 func (c Config) differs(from Config) bool {
 	return c.Name != from.Name || c.Listen != from.Listen || c.Admin != from.Admin || c.Fleet != from.Fleet || c.Limits != from.Limits ||
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -170,19 +170,14 @@
 }
 
 // join makes the node a member of its fleet, if it is to be one. It serves all the same, whatever becomes of that.
-func (d *door) join(ctx context.Context, start node.Start) error {
+func (d *door) join(ctx context.Context, c fleet.Config, start node.Start) {
 	if d.config.Fleet == "" {
-		return nil
-	}
-	c, err := fleet.Read(d.config.Fleet)
-	if err != nil {
-		return err
+		return
 	}
 	d.fleet = fleet.New(c, d.config.Name, Version(), start.Rundown.Seed, start.Rundown.Nodes, d.log, func(n int) {
 		d.send(node.Siblings{Nodes: n})
 	})
 	d.group.Go(func() error { return d.fleet.Run(ctx) })
-	return nil
 }
 
 // view is what the second address shows of the fleet; nil for a node on its own.
@@ -217,13 +212,9 @@
 	if err != nil {
 		return err
 	}
-	if c.Fleet != "" { // before any door is open
-		if _, err := fleet.Read(c.Fleet); err != nil {
-			return err
-		}
-		if c.Name == "" {
-			return errors.New("fleet: a member has a name")
-		}
+	member, err := c.member() // before any door is open
+	if err != nil {
+		return err
 	}
 	p, err := pairUp(ctx, c, log)
 	if err != nil {
@@ -238,10 +229,7 @@
 		last:  1, began: began, base: float64(began.UnixNano()) / 1e9, timer: time.NewTimer(0),
 		roster: discovery.New(c.Discovery), unwatch: func() {}}
 	d.core = node.New(d.now(), start)
-	if err := d.join(ctx, start); err != nil {
-		d.part()
-		return err
-	}
+	d.join(ctx, member, start)
 	if err := d.second(ctx); err != nil {
 		d.part()
 		return err
@@ -315,7 +303,7 @@
 		case <-d.ctx.Done():
 			return nil
 		case <-asked:
-			c, err := ReadConfig()
+			c, err := ReadConfig(d.config.path)
 			if err == nil {
 				_, err = c.start()
 			}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,8 +8,6 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
-	"hash"
-	"hash/fnv"
 	"math"
 	"slices"
 
@@ -34,6 +32,7 @@
 	listPace    = 500  // lines a second that any list service is trusted with
 	slack       = 1.1  // over a ceiling before connections are moved: loads swing by as much
 	homeFactor  = 2.0  // of the mean held; 1.25 and 3 measured worse
+	fewNodes    = 10   // up to here each sees enough of what is common
 	backWithin  = 2.0  // for a server put back by hand to be entered by a flow, of the 5 s that are owed
 	drainWait   = 3.0  // for a server that drains to send its clients away itself
 	probePace   = 0.5  // between probes of one server set aside
@@ -89,7 +88,6 @@
 	todo            []int // flows that await a decision
 	asks            []Decision
 	chances         uint64
-	fnv             hash.Hash64
 	tenants         []int // open connections by member; the last is for members without a share
 	halveAt, beatAt float64
 	typical         []float64          // by service type: load of a connection
@@ -113,7 +111,7 @@
 	if len(r.Types) == 0 {
 		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
 	}
-	b := &Balancer{Rundown: r, fnv: fnv.New64a(), tenants: make([]int, len(r.Quotas)+1), beatAt: -1,
+	b := &Balancer{Rundown: r, tenants: make([]int, len(r.Quotas)+1), beatAt: -1,
 		loads: map[uint64]float64{}, typical: make([]float64, len(r.Types)), gate: math.Inf(1), gateAt: -99,
 		aim: math.Inf(1), strain: 1 - 1/float64(r.Nodes), blind: 1}
 	for _, t := range r.Types {
@@ -128,9 +126,7 @@
 	binary.LittleEndian.PutUint64(buf[:8], b.Seed) // the counter last left near seeds alike
 	binary.LittleEndian.PutUint64(buf[8:], b.chances)
 	b.chances++
-	b.fnv.Reset()
-	b.fnv.Write(buf[:])
-	return float64(b.fnv.Sum64()>>11) / (1 << 53)
+	return float64(xxhash.Sum64(buf[:])>>11) / (1 << 53)
 }
 
 func (b *Balancer) say(format string, args ...any) {
@@ -748,12 +744,15 @@
 	return place, draw
 }
 
+// unsure tells whether this node is one of so many, and holds so little a server, that it cannot tell a sick server
+// from what they all share.
+func (b *Balancer) unsure() bool { return b.blind*(1-fewNodes/float64(b.Nodes)) > 0.5 }
+
 // timeout splits what is left before the connect timeout, so that a further connect fits. Guards against a shared
-// store kept full by what was given up in its queue: who sees failures at many, or next to nothing, waits it out.
+// store kept full by what was given up in its queue and sent again: who is unsure waits it out.
 func (b *Balancer) timeout(now float64, f *flow) float64 {
 	left := f.due - now
-	if f.tries+1 >= b.MaxConnects || b.Types[f.kind].Effect == OnceOnly || f.ranAt >= 0 ||
-		!math.IsInf(b.gate, 1) || float64(f.ca>>11)/(1<<53) < (2*b.blind-1)*(1-1/float64(b.Nodes)) {
+	if f.tries+1 >= b.MaxConnects || b.Types[f.kind].Effect == OnceOnly || b.unsure() {
 		return left
 	}
 	return min(left, max(b.Types[f.kind].SetupTarget, left/2))
@@ -766,8 +765,8 @@
 	}
 	// Guards against dropped clients that bounce from jam to jam where a node sees too little to find room.
 	paced := f.back && !f.midFlow && f.tries == 0 && b.chance() < paceReturns*b.tight*b.blind
-	// Guards against the gate's floor of one connect a node: what failed at a shared store goes again by chance.
-	spent := f.ranAt >= 0 && !math.IsInf(b.gate, 1) && b.chance() < b.blind
+	// Guards against the gate's floor of one connect a node, where what failed at a shared store goes out again.
+	spent := f.ranAt >= 0 && !math.IsInf(b.gate, 1) && b.unsure()
 	if now < f.due && f.tries < b.MaxConnects && (float64(b.out) < b.gate || f.midFlow) && !paced && !spent {
 		if at := b.place(now, f); at >= 0 {
 			within := b.timeout(now, f)
