Four in five of what comes back to a blind node look at a further home

What comes back had been dropped by a host that was too full for it, and half of it went to the same home.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,7 +28,7 @@
 	strainFade  = 60.0 // so that some quiet minutes bring the ordinary path back; 20 measured worse
 	tightHold   = 2.0  // two delay notes' time
 	paceReturns = 2.5  // of what a blind node sees tight; 0.9 and 1.5 measured worse with 130 nodes
-	searchShare = 0.5  // of what comes back to a blind node goes to a further home; 0.25 alike
+	searchShare = 0.8  // of what comes back to a blind node goes to a further home; 0 to 0.5 worse
 	listPace    = 500  // lines a second that any list service is trusted with
 	slack       = 1.1  // over a ceiling before connections are moved: loads swing by as much
 	homeFactor  = 2.0  // of the mean held; 1.25 and 3 measured worse
@@ -744,12 +744,11 @@
 	return place, draw
 }
 
-// unsure tells whether this node is one of so many, and holds so little a server, that it cannot tell a sick server
-// from what they all share.
+// unsure tells whether this node, one of many, holds too little to tell a sick server from what all share.
 func (b *Balancer) unsure() bool { return b.blind*(1-fewNodes/float64(b.Nodes)) > 0.5 }
 
-// timeout splits what is left before the connect timeout, so that a further connect fits. Guards against a shared
-// store kept full by what was given up in its queue and sent again: who is unsure waits it out.
+// timeout splits what is left before the connect timeout, so that a further connect fits. Guards against a
+// store that is kept full by what was given up in its queue and sent again: who is unsure waits it out.
 func (b *Balancer) timeout(now float64, f *flow) float64 {
 	left := f.due - now
 	if f.tries+1 >= b.MaxConnects || b.Types[f.kind].Effect == OnceOnly || b.unsure() {
