--- /dev/null
+++ b/internal/emulator/members/measure.go
@@ -0,0 +1,88 @@
+package members
+
+import (
+	"math"
+	"slices"
+
+	"gorseledge/internal/membership"
+)
+
+// Measure is what a seed showed. Times are periods after the death.
+type Measure struct {
+	Seed                          uint64
+	Suspected, First, Last, Known float64 // first suspicion, first and last that held it for dead; the part that did
+	FalseSuspicions, FalseDeaths  float64 // an hour and fleet, of members that live
+	Bytes                         float64 // a member and second, at rest
+}
+
+// Stalls is how a part of the nodes stalls while a fleet is measured: each for a time, again and again.
+type Stalls struct {
+	Part, For, Every float64 // of the nodes; seconds
+}
+
+// Take measures one fleet: at rest for its load, then with stalls for what is falsely held, then one death.
+func Take(o Options, s Stalls, seconds float64) Measure {
+	w := New(o)
+	w.Run(w.Now + 30*w.Period*math.Log10(10+float64(o.Nodes)))
+	sum, from := 0, w.Now
+	for i := range w.Bytes {
+		sum -= w.Bytes[i]
+	}
+	w.Run(w.Now + 30*w.Period)
+	for i := range w.Bytes {
+		sum += w.Bytes[i]
+	}
+	m := Measure{Seed: o.Seed, Bytes: float64(sum) / float64(o.Nodes) / (w.Now - from)}
+	before := len(w.Events)
+	if s.Part > 0 {
+		n := int(s.Part * float64(o.Nodes))
+		for i := range n {
+			for at := w.Now + s.Every*w.rand.Float64(); at+s.For < w.Now+seconds; at += s.Every {
+				w.At(at, func() { w.Stop(i) })
+				w.At(at+s.For, func() { w.Wake(i) })
+			}
+		}
+		w.Run(w.Now + seconds)
+		for _, e := range w.Events[before:] {
+			switch e.State {
+			case membership.Suspect:
+				m.FalseSuspicions += 3600 / seconds
+			case membership.Dead:
+				m.FalseDeaths += 3600 / seconds
+			}
+		}
+		w.Run(w.Now + 60*w.Period)
+	}
+	before, from = len(w.Events), w.Now
+	victim := o.Nodes - 1
+	w.Kill(victim)
+	w.Run(w.Now + 80*w.Period)
+	told := map[int]float64{}
+	m.Suspected, m.First = math.Inf(1), math.Inf(1)
+	for _, e := range w.Events[before:] {
+		if e.Name != w.nodes[victim].name {
+			continue
+		}
+		at := (e.At - from) / w.Period
+		switch e.State {
+		case membership.Suspect:
+			m.Suspected = min(m.Suspected, at)
+		case membership.Dead:
+			if _, known := told[e.Node]; !known {
+				told[e.Node] = at
+			}
+			m.First, m.Last = min(m.First, at), max(m.Last, at)
+		}
+	}
+	m.Known = float64(len(told)) / float64(o.Nodes-1)
+	return m
+}
+
+// Quantile gives the value under which a part of some lies.
+func Quantile(of []float64, part float64) float64 {
+	if len(of) == 0 {
+		return math.NaN()
+	}
+	of = slices.Sorted(slices.Values(of))
+	return of[min(int(part*float64(len(of))), len(of)-1)]
+}
