One strict reader of TOML files for emulator, rig and fleet

The rig's scripts and the fleet file each had a reader of their own beside the emulator's, with another way to find the line of a mistake. The emulator's is internal/strict now and all three call it. A comment that promised old messages played again is gone. Tests keep what they look for.

--- a/internal/emulator/script.go
+++ b/internal/emulator/script.go
@@ -1,14 +1,12 @@
 package emulator
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"os"
 	"slices"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"gorseledge/internal/strict"
 )
 
 // Scenario is a script: a fleet, its traffic and what befalls it. Times are seconds, loads shares of a core.
@@ -144,68 +142,28 @@
 // Read reads a script from text; path is for messages.
 func Read(path string, text []byte) (Scenario, error) {
 	s := defaults()
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			row, _ := strict.Errors[0].Position()
-			return s, fmt.Errorf("%s:%d: unknown key %s", path, row, strings.Join(strict.Errors[0].Key(), "."))
-		}
-		var decode *toml.DecodeError
-		if errors.As(err, &decode) {
-			row, _ := decode.Position()
-			return s, fmt.Errorf("%s:%d: %s", path, row, strings.TrimPrefix(decode.Error(), "toml: "))
-		}
-		return s, fmt.Errorf("%s:1: %w", path, err)
+	if err := strict.Decode(path, text, &s); err != nil {
+		return s, err
 	}
 	if where, err := s.check(); err != nil {
-		return s, fmt.Errorf("%s:%d: %w", path, where.line(text), err)
+		return s, where.Wrong(path, text, err)
 	}
 	return s, nil
 }
 
-// place names a key in a script: the n-th table of a name, and a key in it.
-type place struct {
-	table string
-	nth   int
-	key   string
-}
-
-// line finds a place in the text; the table's own line where the key is not written, 1 where neither is.
-func (p place) line(text []byte) int {
-	best, nth, in := 1, -1, p.table == ""
-	for i, row := range strings.Split(string(text), "\n") {
-		row = strings.TrimSpace(row)
-		if strings.HasPrefix(row, "[") {
-			name := strings.Trim(strings.TrimSpace(strings.SplitN(row, "#", 2)[0]), "[] ")
-			if in = name == p.table; in {
-				if nth++; nth == p.nth {
-					best = i + 1
-				}
-			}
-			continue
-		}
-		key, _, found := strings.Cut(row, "=")
-		if found && in && strings.TrimSpace(key) == p.key && (p.table == "" || nth == p.nth) {
-			return i + 1
-		}
-	}
-	return best
-}
-
 // check gives the first thing that no fleet can be played with.
-func (s Scenario) check() (place, error) {
+func (s Scenario) check() (strict.Place, error) {
 	type figure struct {
-		in    place
+		in    strict.Place
 		x     float64
 		least float64
 		most  float64
 	}
 	f, n, r := s.Fleet, s.Network, s.Rules
-	top := func(key string) place { return place{key: key} }
-	fleet := func(key string) place { return place{table: "fleet", key: key} }
-	net := func(key string) place { return place{table: "network", key: key} }
-	rule := func(key string) place { return place{table: "rules", key: key} }
+	top := func(key string) strict.Place { return strict.Place{Key: key} }
+	fleet := func(key string) strict.Place { return strict.Place{Table: "fleet", Key: key} }
+	net := func(key string) strict.Place { return strict.Place{Table: "network", Key: key} }
+	rule := func(key string) strict.Place { return strict.Place{Table: "rules", Key: key} }
 	figures := []figure{{top("lasts"), s.Lasts, 1, 1e5}, {top("settle"), s.Settle, 0, 1e3},
 		{top("drawn_faults"), float64(s.Drawn), 0, 1e3},
 		{fleet("nodes"), float64(f.Nodes), 1, 2000}, {fleet("hosts"), float64(f.Hosts), 0, 5000},
@@ -220,7 +178,7 @@
 		{rule("max_connects"), float64(r.MaxConnects), 1, 100}, {rule("retry_after"), r.RetryAfter, 0, 100},
 		{rule("ask_within"), r.AskWithin, 0, 1e4}}
 	for i, t := range s.Traffic {
-		of := func(key string) place { return place{"traffic", i, key} }
+		of := func(key string) strict.Place { return strict.Place{Table: "traffic", Nth: i, Key: key} }
 		if t.Name == "" || strings.ContainsAny(t.Name, " ,=\r\n") {
 			return of("name"), fmt.Errorf("a service type needs a name of one word, not %q", t.Name)
 		}
@@ -235,7 +193,7 @@
 			figure{of("heeds"), t.Heeds, 0, 1}, figure{of("memory_span"), t.Span, 0, 1e4})
 	}
 	for i, x := range s.Faults {
-		of := func(key string) place { return place{"fault", i, key} }
+		of := func(key string) strict.Place { return strict.Place{Table: "fault", Nth: i, Key: key} }
 		needs, ok := kinds[x.Kind]
 		if !ok {
 			return of("kind"), fmt.Errorf("no fault is called %q; there are %s", x.Kind, strings.Join(Kinds(), ", "))
@@ -255,8 +213,8 @@
 	}
 	for _, x := range figures {
 		if !(x.x >= x.least && x.x <= x.most) {
-			return x.in, fmt.Errorf("%s is %v, and goes from %v to %v", x.in.key, x.x, x.least, x.most)
+			return x.in, fmt.Errorf("%s is %v, and goes from %v to %v", x.in.Key, x.x, x.least, x.most)
 		}
 	}
-	return place{}, nil
+	return strict.Place{}, nil
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -3,17 +3,15 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
-	"strings"
-
-	"github.com/pelletier/go-toml/v2"
+	"strconv"
 
 	"gorseledge/internal/peers"
+	"gorseledge/internal/strict"
 )
 
 const (
@@ -43,95 +41,74 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("fleet: %w", err)
 	}
-	c, key, err := parse(text)
+	c, err := parse(path, text)
 	if err != nil {
-		return Config{}, fmt.Errorf("fleet: %s:%d: %w", path, lineOf(text, key, err), err)
+		return Config{}, fmt.Errorf("fleet: %w", err)
 	}
 	return c, nil
 }
 
-// lineOf finds where a key stands; where an error of the parser has a place, that.
-func lineOf(text []byte, key string, err error) int {
-	var strict *toml.StrictMissingError
-	var decode *toml.DecodeError
-	switch {
-	case errors.As(err, &strict) && len(strict.Errors) > 0:
-		line, _ := strict.Errors[0].Position()
-		return line
-	case errors.As(err, &decode):
-		line, _ := decode.Position()
-		return line
+func parse(path string, text []byte) (Config, error) {
+	var c Config
+	if err := strict.Decode(path, text, &c); err != nil {
+		return c, err
+	}
+	if c.Period == 0 {
+		c.Period = usualPeriod
+	}
+	if where, err := c.check(); err != nil {
+		return c, where.Wrong(path, text, err)
 	}
-	for i, line := range strings.Split(string(text), "\n") {
-		if name, _, found := strings.Cut(line, "="); found && strings.Trim(strings.TrimSpace(name), `"`) == key {
-			return i + 1
+	for _, key := range []string{c.Key, c.OldKey} {
+		if raw, _ := hex.DecodeString(key); len(raw) > 0 {
+			c.keys = append(c.keys, raw)
 		}
 	}
-	return 1
+	return c, nil
 }
 
-func parse(text []byte) (c Config, key string, err error) {
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(&c); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			return c, "", fmt.Errorf("%s: unknown key%w", strings.Join(strict.Errors[0].Key(), "."), quiet{err})
-		}
-		return c, "", err
-	}
-	if c.Period == 0 {
-		c.Period = usualPeriod
-	}
+// check gives the first thing with which no node can be a member.
+func (c Config) check() (strict.Place, error) {
+	top := func(key string) strict.Place { return strict.Place{Key: key} }
 	own, err := peers.Address(c.Address)
 	switch {
 	case c.Fleet == "":
-		return c, "fleet", errors.New("fleet: a fleet has an id")
+		return top("fleet"), errors.New("fleet: a fleet has an id")
 	case err != nil:
-		return c, "address", fmt.Errorf("address: %w", err)
+		return top("address"), fmt.Errorf("address: %w", err)
 	case !(c.Period >= leastPeriod && c.Period <= mostPeriod):
-		return c, "period_s", fmt.Errorf("period_s: %g is not between %g and %g", c.Period, leastPeriod, mostPeriod)
+		return top("period_s"), fmt.Errorf("period_s: %g is not between %g and %g", c.Period, leastPeriod, mostPeriod)
 	case len(c.Join) > mostJoin:
-		return c, "join", fmt.Errorf("join: %d addresses, and %d do", len(c.Join), mostJoin)
+		return top("join"), fmt.Errorf("join: %d addresses, and %d do", len(c.Join), mostJoin)
 	}
 	seen := map[netip.AddrPort]bool{}
 	for _, text := range c.Join {
 		at, err := peers.Address(text)
 		if err != nil {
-			return c, "join", fmt.Errorf("join: %w", err)
+			return top("join"), fmt.Errorf("join: %w", err)
 		}
 		if seen[at] {
-			return c, "join", fmt.Errorf("join: %s stands there twice", text)
+			return top("join"), fmt.Errorf("join: %s stands there twice", text)
 		}
 		seen[at] = true
 	}
 	if len(c.Join) == 0 || len(c.Join) == 1 && seen[own] {
-		return c, "join", errors.New("join: there is nobody else to join")
+		return top("join"), errors.New("join: there is nobody else to join")
 	}
 	for from, to := range c.Via {
 		for _, text := range []string{from, to} {
 			if _, err := peers.Address(text); err != nil {
-				return c, from, fmt.Errorf("via: %w", err)
+				return strict.Place{Table: "via", Key: strconv.Quote(from)}, fmt.Errorf("via: %w", err)
 			}
 		}
 	}
-	for name, text := range map[string]string{"key": c.Key, "old_key": c.OldKey} {
-		if name == "old_key" && text == "" {
-			continue
-		}
-		if raw, err := hex.DecodeString(text); err != nil || len(raw) < leastKey {
-			return c, name, fmt.Errorf("%s: wanted %d hexadecimal bytes or more", name, leastKey)
-		}
-	}
-	for _, text := range []string{c.Key, c.OldKey} {
-		if raw, _ := hex.DecodeString(text); len(raw) > 0 {
-			c.keys = append(c.keys, raw)
+	for _, k := range []struct {
+		name, text string
+		needed     bool
+	}{{"key", c.Key, true}, {"old_key", c.OldKey, false}} {
+		if raw, err := hex.DecodeString(k.text); err != nil || len(raw) < leastKey && (k.needed || len(raw) > 0) {
+			return top(k.name), fmt.Errorf("%s: wanted %d hexadecimal bytes or more", k.name, leastKey)
 		}
 	}
-	return c, "", nil
+	return strict.Place{}, nil
 }
-
-// quiet keeps an error to be found and says nothing of its own.
-type quiet struct{ error }
-
-func (quiet) Error() string   { return "" }
-func (q quiet) Unwrap() error { return q.error }
--- a/internal/rig/play_test.go
+++ b/internal/rig/play_test.go
@@ -36,7 +36,7 @@
 // play plays a script's text and fails where a node's log tells of a race, or a process is left.
 func play(t *testing.T, program, text string, seed uint64) *Result {
 	t.Helper()
-	s, err := Read([]byte(text))
+	s, err := Read("script", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -141,7 +141,7 @@
 
 // An interrupt leaves no process and no half-written file.
 func TestInterrupt(t *testing.T) {
-	s, err := Read([]byte("nodes = 3\nlasts = 60\n"))
+	s, err := Read("script", []byte("nodes = 3\nlasts = 60\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -4,16 +4,15 @@
 package rig
 
 import (
-	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
-	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"gorseledge/internal/strict"
 )
 
 // Script is a fleet of processes, what clients want of it and what befalls it. Times are seconds.
@@ -44,85 +43,46 @@
 }
 
 // kinds of faults, and what each one needs.
-var kinds = map[string]struct{ node, way, lasts, by bool }{
-	"stop":    {node: true, lasts: true},          // SIGSTOP, and SIGCONT after it
-	"kill":    {node: true},                       // SIGKILL; started again after for, never where that is 0
-	"wipe":    {node: true},                       // the same, with the directory emptied
-	"restart": {node: true},                       // SIGTERM, and started again after for
-	"upgrade": {node: true},                       // a further process beside it, to which it hands over
+var kinds = map[string]struct{ way, lasts, by bool }{
+	"stop":    {lasts: true},                      // SIGSTOP, and SIGCONT after it
+	"kill":    {},                                 // SIGKILL; started again after for, never where that is 0
+	"wipe":    {},                                 // the same, with the directory emptied
+	"restart": {},                                 // SIGTERM, and started again after for
+	"upgrade": {},                                 // a further process beside it, to which it hands over
 	"cut":     {way: true, lasts: true},           // nothing passes from nodes to to
 	"loss":    {way: true, lasts: true, by: true}, // that part of the datagrams is lost
 	"delay":   {way: true, lasts: true, by: true}, // by seconds, and as much jitter: they overtake one another
 	"repeat":  {way: true, lasts: true, by: true}, // that part comes twice
-	"garbage": {node: true},                       // datagrams that mean nothing, and old ones played again
+	"garbage": {},                                 // datagrams that mean nothing
 }
 
-// mistake is one in a script, with the key it stands at.
-type mistake struct{ key, text string }
-
-func (m mistake) Error() string { return m.key + ": " + m.text }
-
 // ReadFile reads a script, strictly; an error names the file and the line.
 func ReadFile(path string) (*Script, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	s, err := Read(text)
-	if err != nil {
-		return nil, fmt.Errorf("%s:%d: %w", path, line(text, err), err)
-	}
-	return s, nil
-}
-
-// line finds where a mistake stands.
-func line(text []byte, err error) int {
-	var strict *toml.StrictMissingError
-	var decode *toml.DecodeError
-	var m mistake
-	switch {
-	case errors.As(err, &strict) && len(strict.Errors) > 0:
-		at, _ := strict.Errors[0].Position()
-		return at
-	case errors.As(err, &decode):
-		at, _ := decode.Position()
-		return at
-	case errors.As(err, &m):
-		key, nth, seen := m.key, 0, 0
-		if fault, rest, found := strings.Cut(key, "."); found {
-			fmt.Sscanf(fault, "fault %d", &nth)
-			key = rest
-		}
-		head := 1
-		for i, row := range strings.Split(string(text), "\n") {
-			row = strings.TrimSpace(row)
-			if strings.HasPrefix(row, "[[fault]]") {
-				if seen++; seen == nth {
-					head = i + 1
-				}
-			}
-			if name, _, found := strings.Cut(row, "="); found && seen == nth && strings.TrimSpace(name) == key {
-				return i + 1
-			}
-		}
-		return head
-	}
-	return 1
+	return Read(path, text)
 }
 
-// Read reads a script's text.
-func Read(text []byte) (*Script, error) {
+// Read reads a script's text; path is for messages.
+func Read(path string, text []byte) (*Script, error) {
 	s := &Script{Lasts: 20, Settle: 20, Nodes: 5, Period: 0.25, Hosts: 4, Flows: 10}
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(s); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			return nil, unknown{strict, strings.Join(strict.Errors[0].Key(), ".")}
-		}
+	if err := strict.Decode(path, text, s); err != nil {
 		return nil, err
 	}
 	if s.Liveness == 0 {
 		s.Liveness = s.Settle
 	}
+	if where, err := s.check(); err != nil {
+		return nil, where.Wrong(path, text, err)
+	}
+	return s, nil
+}
+
+// check gives the first thing that no fleet can be played with.
+func (s *Script) check() (strict.Place, error) {
+	top := func(key string) strict.Place { return strict.Place{Key: key} }
 	for _, c := range []struct {
 		key         string
 		x           float64
@@ -131,48 +91,40 @@
 		{"zones", float64(s.Zones), 0, 10}, {"period", s.Period, 0.05, 10}, {"hosts", float64(s.Hosts), 1, 50},
 		{"flows", s.Flows, 0, 500}, {"drawn_faults", float64(s.Drawn), 0, 200}, {"liveness", s.Liveness, 1, 600}} {
 		if !(c.x >= c.least && c.x <= c.most) {
-			return nil, mistake{c.key, fmt.Sprintf("%g is not between %g and %g", c.x, c.least, c.most)}
+			return top(c.key), fmt.Errorf("%s: %g is not between %g and %g", c.key, c.x, c.least, c.most)
 		}
 	}
 	for _, kind := range s.Kinds {
 		if _, known := kinds[kind]; !known {
-			return nil, mistake{"drawn_kinds", fmt.Sprintf("no fault is called %q", kind)}
+			return top("drawn_kinds"), fmt.Errorf("drawn_kinds: no fault is called %q", kind)
 		}
 	}
 	for i, f := range s.Faults {
-		at := func(key string) string { return fmt.Sprintf("fault %d.%s", i+1, key) }
+		at := func(key string) strict.Place { return strict.Place{Table: "fault", Nth: i, Key: key} }
 		k, known := kinds[f.Kind]
 		switch {
 		case !known:
-			return nil, mistake{at("kind"), fmt.Sprintf("no fault is called %q", f.Kind)}
+			return at("kind"), fmt.Errorf("kind: no fault is called %q", f.Kind)
 		case !(f.At >= 0 && f.At <= s.Lasts):
-			return nil, mistake{at("at"), fmt.Sprintf("%g is not between 0 and %g", f.At, s.Lasts)}
+			return at("at"), fmt.Errorf("at: %g is not between 0 and %g", f.At, s.Lasts)
 		case !(f.For >= 0) || k.lasts && f.For == 0 || f.At+f.For > s.Lasts:
-			return nil, mistake{at("for"), fmt.Sprintf("%g is no time for it, or it outlasts the script", f.For)}
+			return at("for"), fmt.Errorf("for: %g is no time for it, or it outlasts the script", f.For)
 		case k.by && !(f.By > 0) || f.By < 0 || (f.Kind == "loss" || f.Kind == "repeat") && f.By > 1:
-			return nil, mistake{at("by"), fmt.Sprintf("%g is no figure for it", f.By)}
+			return at("by"), fmt.Errorf("by: %g is no figure for it", f.By)
 		case len(f.Nodes) == 0:
-			return nil, mistake{at("nodes"), "whom does it befall?"}
+			return at("nodes"), errors.New("nodes: whom does it befall?")
 		case !k.way && (len(f.To) > 0 || f.Both):
-			return nil, mistake{at("to"), "it befalls processes, not ways"}
+			return at("to"), errors.New("to: it befalls processes, not ways")
 		}
 		for _, n := range slices.Concat(f.Nodes, f.To) {
 			if n < 0 || n >= s.Nodes {
-				return nil, mistake{at("nodes"), fmt.Sprintf("there is no node %d", n)}
+				return at("nodes"), fmt.Errorf("nodes: there is no node %d", n)
 			}
 		}
 	}
-	return s, nil
-}
-
-type unknown struct {
-	*toml.StrictMissingError
-	key string
+	return strict.Place{}, nil
 }
 
-func (u unknown) Error() string { return u.key + ": unknown key" }
-func (u unknown) Unwrap() error { return u.StrictMissingError }
-
 // Draw gives the script's faults and those that the seed adds, in order. Of drawn ones, no more than a third of the
 // processes are down or stopped at once, so that those who are left have a path.
 func (s *Script) Draw(seed uint64) []Fault {
@@ -224,14 +176,6 @@
 			faults = append(faults, f)
 		}
 	}
-	slices.SortStableFunc(faults, func(a, b Fault) int {
-		switch {
-		case a.At < b.At:
-			return -1
-		case a.At > b.At:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
