Fleet and peers share one datagram socket; membership without dead state; whole files by lab.Keep

peers.Link's loop round its socket was written again in the fleet; peers.Socket serves both, so the fleet's sends have a deadline too and a socket error no longer spins. A node that handed membership over while its address was being opened kept it open; it is closed. Out of the fleet it no longer asks every 50 ms. The hash of a view is taken once an exchange, not once a message. Gauges by one function, results and timelines by lab.Keep, measures by errgroup.

--- a/cmd/gorselab/fleet.go
+++ b/cmd/gorselab/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"gorseledge/internal/lab"
 	"gorseledge/internal/rig"
 )
 
@@ -98,7 +99,7 @@
 	return program, nil
 }
 
-// keep writes what came of a run; a file has its name once it is whole.
+// keep writes what came of a run.
 func keep(out string, r *rig.Result) error {
 	if out == "" {
 		return nil
@@ -109,14 +110,13 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(out, fmt.Sprintf("result-%d.json", r.Seed))
-	if err := os.WriteFile(path+".part", append(text, '\n'), 0o644); err != nil {
+	if err := lab.Keep(filepath.Join(out, fmt.Sprintf("result-%d.json", r.Seed)), append(text, '\n')); err != nil {
 		return err
 	}
-	if err := os.Rename(path+".part", path); err != nil {
+	if text, err = rig.Timeline(r); err != nil {
 		return err
 	}
-	return rig.Timeline(filepath.Join(out, fmt.Sprintf("timeline-%d.svg", r.Seed)), r)
+	return lab.Keep(filepath.Join(out, fmt.Sprintf("timeline-%d.svg", r.Seed)), text)
 }
 
 // report prints the run's table and its last line.
--- a/cmd/gorselab/members.go
+++ b/cmd/gorselab/members.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"runtime"
-	"sync"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"gorseledge/internal/emulator/members"
 )
@@ -27,46 +29,16 @@
 			defer t.Flush()
 			fmt.Fprintln(t, "core\tnodes\tseeds\tfirst suspects, median\t99th\tfirst knows\tlast knows\t99th\tknown by\tfalse suspicions an hour\t"+
 				"false deaths an hour\tbytes a member and second")
-			for _, n := range nodes {
-				if n < 3 || n > 2000 {
-					return fmt.Errorf("--nodes is %d, and goes from 3 to 2000", n)
+			for _, o.Nodes = range nodes {
+				if o.Nodes < 3 || o.Nodes > 2000 {
+					return fmt.Errorf("--nodes is %d, and goes from 3 to 2000", o.Nodes)
 				}
-				for _, plain := range []bool{false, true} {
-					found := make([]members.Measure, seeds)
-					var all sync.WaitGroup
-					gate := make(chan bool, runtime.NumCPU())
-					for i := range seeds {
-						all.Go(func() {
-							gate <- true
-							defer func() { <-gate }()
-							one := o
-							one.Nodes, one.Seed, one.Plain = n, uint64(i+1), plain
-							found[i] = members.Take(one, s, seconds)
-						})
+				for _, o.Plain = range []bool{false, true} {
+					found, err := measure(cmd.Context(), o, s, seconds, seeds)
+					if err != nil {
+						return err
 					}
-					all.Wait()
-					of := func(get func(members.Measure) float64) (out []float64) {
-						for _, m := range found {
-							out = append(out, get(m))
-						}
-						return out
-					}
-					mean := func(xs []float64) (sum float64) {
-						for _, x := range xs {
-							sum += x / float64(len(xs))
-						}
-						return sum
-					}
-					name := map[bool]string{false: "as built", true: "plain SWIM"}[plain]
-					suspected := of(func(m members.Measure) float64 { return m.Suspected })
-					last := of(func(m members.Measure) float64 { return m.Last })
-					fmt.Fprintf(t, "%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.0f\t%.0f\t%.0f\n", name, n, seeds,
-						members.Quantile(suspected, 0.5), members.Quantile(suspected, 0.99),
-						members.Quantile(of(func(m members.Measure) float64 { return m.First }), 0.5), members.Quantile(last, 0.5),
-						members.Quantile(last, 0.99), mean(of(func(m members.Measure) float64 { return m.Known })),
-						mean(of(func(m members.Measure) float64 { return m.FalseSuspicions })),
-						mean(of(func(m members.Measure) float64 { return m.FalseDeaths })),
-						mean(of(func(m members.Measure) float64 { return m.Bytes })))
+					row(t, o, found)
 				}
 			}
 			return nil
@@ -80,3 +52,52 @@
 	c.Flags().Float64Var(&seconds, "seconds", 120, "so long")
 	return c
 }
+
+// measure measures a fleet of each seed, in parallel. An interrupt ends it after those that are under way.
+func measure(ctx context.Context, o members.Options, s members.Stalls, seconds float64, seeds int) ([]members.Measure, error) {
+	found := make([]members.Measure, seeds)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(runtime.NumCPU())
+	for i := range found {
+		group.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			one := o
+			one.Seed = uint64(i + 1)
+			found[i] = members.Take(one, s, seconds)
+			return nil
+		})
+	}
+	return found, group.Wait()
+}
+
+// row writes what a size and core showed.
+func row(w io.Writer, o members.Options, found []members.Measure) {
+	of := func(get func(members.Measure) float64) (out []float64) {
+		for _, m := range found {
+			out = append(out, get(m))
+		}
+		return out
+	}
+	mean := func(get func(members.Measure) float64) (sum float64) {
+		for _, x := range of(get) {
+			sum += x / float64(len(found))
+		}
+		return sum
+	}
+	core := "as built"
+	if o.Plain {
+		core = "plain SWIM"
+	}
+	suspected := of(func(m members.Measure) float64 { return m.Suspected })
+	first := of(func(m members.Measure) float64 { return m.First })
+	last := of(func(m members.Measure) float64 { return m.Last })
+	fmt.Fprintf(w, "%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.0f\t%.0f\t%.0f\n", core, o.Nodes, len(found),
+		members.Quantile(suspected, 0.5), members.Quantile(suspected, 0.99), members.Quantile(first, 0.5),
+		members.Quantile(last, 0.5), members.Quantile(last, 0.99),
+		mean(func(m members.Measure) float64 { return m.Known }),
+		mean(func(m members.Measure) float64 { return m.FalseSuspicions }),
+		mean(func(m members.Measure) float64 { return m.FalseDeaths }),
+		mean(func(m members.Measure) float64 { return m.Bytes }))
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -92,7 +92,6 @@
 func write(w io.Writer, f node.Figures) {
 	var text strings.Builder
 	count := func(name string, n int) { fmt.Fprintf(&text, "lb.%s:%d|c\n", name, n) }
-	gauge := func(name string, n int) { fmt.Fprintf(&text, "lb.%s:%d|g\n", name, n) }
 	for _, t := range f.Types {
 		name := plain.Replace(t.Type)
 		count("success."+name, t.Established)
@@ -100,15 +99,17 @@
 		count("error."+name, t.Aborted)
 	}
 	count("dispatches", f.Dispatched)
-	gauge("concurrent", f.Open)
-	gauge("targets", f.Listed)
-	gauge("targets_disabled", f.Avoided)
+	gauge(&text, "concurrent", f.Open)
+	gauge(&text, "targets", f.Listed)
+	gauge(&text, "targets_disabled", f.Avoided)
 	io.WriteString(w, text.String())
 }
 
+func gauge(w io.Writer, name string, n int) { fmt.Fprintf(w, "lb.%s:%d|g\n", name, n) }
+
 // writeMembers gives the figures of the fleet, all gauges.
 func writeMembers(w io.Writer, v fleet.View) {
-	states := map[string]int{"alive": 0, "suspect": 0, "dead": 0, "left": 0}
+	states := map[string]int{}
 	bad := 0
 	for _, m := range v.Members {
 		states[m.State]++
@@ -117,9 +118,11 @@
 		}
 	}
 	for _, state := range []string{"alive", "suspect", "dead", "left"} {
-		fmt.Fprintf(w, "lb.members.%s:%d|g\n", state, states[state])
+		gauge(w, "members."+state, states[state])
 	}
-	fmt.Fprintf(w, "lb.members.bad_links:%d|g\nlb.members.doubt:%d|g\nlb.members.nodes:%d|g\n", bad, v.Doubt, v.Nodes)
+	gauge(w, "members.bad_links", bad)
+	gauge(w, "members.doubt", v.Doubt)
+	gauge(w, "members.nodes", v.Nodes)
 }
 
 // Serve answers calls that come to ln, over at most that many connections at once, until the context ends.
--- a/internal/emulator/members/world.go
+++ b/internal/emulator/members/world.go
@@ -37,7 +37,6 @@
 	order uint64
 	node  int
 	tick  bool
-	from  int
 	msg   *wire.Message
 	do    func()
 }
@@ -206,7 +205,7 @@
 		copies = 2
 	}
 	for range copies {
-		w.push(item{at: w.Now + w.Delay*(0.5+w.rand.Float64()), node: to, from: from, msg: msg})
+		w.push(item{at: w.Now + w.Delay*(0.5+w.rand.Float64()), node: to, msg: msg})
 	}
 }
 
@@ -256,9 +255,6 @@
 // Replaced tells whether a process was told that another took its name over.
 func (w *World) Replaced(i int) bool { return w.nodes[i].replaced }
 
-// Address gives a node's address.
-func (w *World) Address(i int) string { return w.nodes[i].address }
-
 // Sees gives the state in which a node holds another, and false where it does not know it.
 func (w *World) Sees(i int, name string) (membership.State, bool) {
 	for _, x := range w.nodes[i].All() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -32,8 +31,8 @@
 	mu      sync.Mutex
 	core    *membership.Members
 	seal    *seal
-	conn    *net.UDPConn
-	held    bool // another process of this node is the member now
+	socket  *peers.Socket // nil while there is none
+	held    bool          // another process of this node is the member now
 	left    bool
 	refused map[refusal]int
 	wake    chan struct{}
@@ -55,20 +54,28 @@
 
 func (f *Fleet) now() float64 { return f.base + time.Since(f.began).Seconds() }
 
-// Run is a member until the context ends.
+// Run is a member until the context ends, or the node has left the fleet.
 func (f *Fleet) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		held := f.held || f.left
+		held, left := f.held, f.left
 		f.mu.Unlock()
-		if !held {
-			if err := f.open(); err != nil {
-				f.log.Debug().Err(err).Msg("the fleet's address")
-			} else {
-				f.serve(ctx)
-				continue
+		switch {
+		case left:
+			return nil
+		case held:
+			select {
+			case <-f.wake:
+			case <-ctx.Done():
 			}
+			continue
+		}
+		socket, err := f.open(ctx)
+		if err == nil {
+			f.serve(ctx, socket)
+			continue
 		}
+		f.log.Debug().Err(err).Msg("the fleet's address")
 		select {
 		case <-time.After(again):
 		case <-ctx.Done():
@@ -77,30 +84,28 @@
 	return nil
 }
 
-func (f *Fleet) open() error {
-	at, err := netip.ParseAddrPort(f.config.Address)
+func (f *Fleet) open(ctx context.Context) (*peers.Socket, error) {
+	socket, err := peers.Open(ctx, f.config.Address)
 	if err != nil {
-		return err
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
-	if err != nil {
-		return err
+		return nil, err
 	}
 	f.mu.Lock()
-	f.conn = conn
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	if f.held || f.left { // handed over meanwhile
+		socket.Close()
+		return nil, net.ErrClosed
+	}
+	f.socket = socket
 	f.log.Info().Str("fleet", f.config.Fleet).Str("address", f.config.Address).Msg("member of a fleet")
-	return nil
+	return socket, nil
 }
 
 // serve reads and ticks until the address is closed.
-func (f *Fleet) serve(ctx context.Context) {
-	stop := context.AfterFunc(ctx, f.shut)
-	defer stop()
+func (f *Fleet) serve(ctx context.Context, socket *peers.Socket) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		f.read()
+		socket.Serve(ctx, mostSize, f.hear)
 	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -123,45 +128,28 @@
 	}
 }
 
-// shut closes the address.
-func (f *Fleet) shut() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.conn != nil {
-		f.conn.Close()
-		f.conn = nil
+// drop closes the address, for who has the lock.
+func (f *Fleet) drop() {
+	if f.socket != nil {
+		f.socket.Close()
+		f.socket = nil
 	}
 }
 
-func (f *Fleet) read() {
+// hear takes a datagram; whose it is tells the message itself.
+func (f *Fleet) hear(text []byte, _ netip.AddrPort) {
 	f.mu.Lock()
-	conn := f.conn
-	f.mu.Unlock()
-	if conn == nil {
-		return
-	}
-	buf := make([]byte, mostSize+1)
-	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil { // an earlier message reached nobody
-			continue
-		}
-		f.mu.Lock()
-		m, why := f.seal.open(buf[:n])
-		if why != taken {
-			if f.refused[why]++; f.refused[why] == 1 {
-				f.log.Warn().Str("why", string(why)).Msg("message not taken")
-			}
-		}
-		f.mu.Unlock()
-		if why == taken {
-			f.do(func(now float64) []membership.Effect { return f.core.Receive(now, m) })
-			f.nudge()
+	m, why := f.seal.open(text)
+	if why != taken {
+		if f.refused[why]++; f.refused[why] == 1 {
+			f.log.Warn().Str("why", string(why)).Msg("message not taken")
 		}
 	}
+	f.mu.Unlock()
+	if why == taken {
+		f.do(func(now float64) []membership.Effect { return f.core.Receive(now, m) })
+		f.nudge()
+	}
 }
 
 func (f *Fleet) nudge() {
@@ -186,10 +174,7 @@
 		case membership.Replaced:
 			f.left = true
 			f.log.Error().Str("address", e.By.Address).Msg("another process goes by this name: this one leaves the fleet")
-			if f.conn != nil {
-				f.conn.Close()
-				f.conn = nil
-			}
+			f.drop()
 		}
 	}
 }
@@ -200,7 +185,7 @@
 		to = via
 	}
 	at, err := peers.Address(to)
-	if err != nil || f.conn == nil {
+	if err != nil || f.socket == nil {
 		return
 	}
 	text, err := f.seal.close(m)
@@ -208,7 +193,7 @@
 		f.log.Error().Err(err).Int("bytes", len(text)).Msg("message not sent")
 		return
 	}
-	f.conn.WriteToUDPAddrPort(text, at)
+	f.socket.Send([][]byte{text}, at)
 }
 
 // count tells the number of nodes where it has changed.
@@ -234,10 +219,11 @@
 func (f *Fleet) Hold(held bool) {
 	f.mu.Lock()
 	f.held = held
-	f.mu.Unlock()
 	if held {
-		f.shut()
+		f.drop()
 	}
+	f.mu.Unlock()
+	f.nudge()
 }
 
 // Leave tells the others that this node goes, unless another process of it stays.
@@ -251,8 +237,8 @@
 	f.do(func(now float64) []membership.Effect { return f.core.Leave(now) })
 	f.mu.Lock()
 	f.left = true
+	f.drop()
 	f.mu.Unlock()
-	f.shut()
 }
 
 // View is what this node knows of its fleet.
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -62,11 +62,9 @@
 // member is one with what this node needs to judge it.
 type member struct {
 	Member
-	heard      float64 // when it last proved that it lives, to this node
-	suspicion  *suspicion
-	badLink    bool // it answers by way of others only
-	correctAt  float64
-	probedPast int // rounds of probes in which it was passed over
+	suspicion *suspicion
+	badLink   bool    // it answers by way of others only
+	correctAt float64 // when it may be told again what is known of it
 }
 
 // update gives what goes out about a member.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -223,7 +224,7 @@
 
 // add takes a member that was not known.
 func (m *Members) add(u *wire.Update) *member {
-	x := &member{Member: Member{Name: u.Name, State: Alive, Since: m.now}, heard: m.now}
+	x := &member{Member: Member{Name: u.Name, State: Alive, Since: m.now}}
 	x.facts(u)
 	if s := State(min(u.State, uint32(Left))); s.gone() {
 		x.State = s
@@ -269,10 +270,7 @@
 	if order > 0 {
 		x.facts(u)
 		m.turn(x, Alive)
-		if m.spread(x); said == Alive {
-			x.heard = m.now
-			return
-		}
+		m.spread(x)
 	}
 	switch {
 	case said == Alive:
@@ -352,17 +350,13 @@
 func (m *Members) hash() (sum uint64) {
 	var buf []byte
 	add := func(x *member) {
-		state := byte(0)
+		gone := byte(0)
 		if x.State.gone() {
-			state = 1
-		}
-		buf = append(append(buf[:0], x.Name...), state)
-		for i := range 8 {
-			buf = append(buf, byte(x.Start>>(8*i)))
-		}
-		for i := range 4 {
-			buf = append(buf, byte(x.Incarnation>>(8*i)))
+			gone = 1
 		}
+		buf = append(append(buf[:0], x.Name...), gone)
+		buf = binary.LittleEndian.AppendUint64(buf, x.Start)
+		buf = binary.LittleEndian.AppendUint32(buf, x.Incarnation)
 		sum ^= xxhash.Sum64(buf)
 	}
 	add(m.self)
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -194,11 +194,11 @@
 
 // state sends all that is known, or as much of it as a period may bear, in a drawn order.
 func (m *Members) state(to string, again bool) {
-	names := append([]string{m.self.Name}, m.names...)
+	names, hash := append([]string{m.self.Name}, m.names...), m.hash()
 	m.rand.Shuffle(len(names)-1, func(i, j int) { names[i+1], names[j+1] = names[j+1], names[i+1] })
 	for len(names) > 0 && m.pieces > 0 {
 		m.pieces--
-		msg := &wire.Message{Kind: wire.Message_STATE, From: m.self.Name, Start: m.self.Start, Hash: m.hash(), Again: again}
+		msg := &wire.Message{Kind: wire.Message_STATE, From: m.self.Name, Start: m.self.Start, Hash: hash, Again: again}
 		size := proto.Size(msg)
 		for len(names) > 0 {
 			u := m.known(names[0]).update()
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -42,11 +42,8 @@
 	}
 	if x.suspicion == nil {
 		least, most := m.suspicionTime()
-		if leaves {
-			least, most = m.Period, 2*m.Period
-		}
 		x.suspicion = &suspicion{since: m.now, least: least, most: most, expect: min(accusers, max(m.living-2, 0)),
-			by: map[string]bool{}, leaves: leaves}
+			by: map[string]bool{}}
 		m.turn(x, Suspect)
 		// Guards against a liar's word, and against the word of one that hears nobody: who can asks for itself.
 		// In a large fleet some ten do.
@@ -68,7 +65,6 @@
 // proved takes evidence that a member lives now: a message of its own, or an answer by way of another. Its time to
 // answer is not over before it can have heard that it has to.
 func (m *Members) proved(x *member) {
-	x.heard = m.now
 	if s := x.suspicion; s != nil && !m.Plain {
 		s.spared, s.checked = max(s.spared, m.now+s.least), false
 	}
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -52,7 +52,7 @@
 	if !slices.Equal(got, words) {
 		t.Errorf("the other node got %v", got)
 	}
-	to := l.conn.LocalAddr().(*net.UDPAddr)
+	to := l.socket.conn.LocalAddr().(*net.UDPAddr)
 	for _, m := range []struct {
 		from *net.UDPConn
 		text []byte
