A silent watch is found and opened anew before what it missed counts as told

Ruled out: the loop's queue (the list came by 10 ms after it was written), dials begun before the drain (up within 10 ms), known and index (told anew from index 0), discovery's turn alone (0.3 s here).

Also, refusals were waited out up to 15 s after discovery's return.

After a refusal: a quarter of a second or half of listTime at first, no longer than listTime or 1 s at the last. A line cut off by silence is silence, no bad list.

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -48,8 +48,11 @@
 	Closed struct{ Conn Conn }
 	// Listed is what discovery told.
 	Listed struct{ List roster.List }
-	// Unlisted says that the watch has failed or ended.
-	Unlisted struct{ Why string }
+	// Unlisted says that the watch has failed or ended, or has said nothing for too long.
+	Unlisted struct {
+		Why    string
+		Silent bool
+	}
 	// Relocated says that discovery is at another address now, and the old one about to go.
 	Relocated struct{}
 	// Tick comes when a Timer is due; it may come at any time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,7 +192,11 @@
 	case Unlisted:
 		n.misses++
 		n.watching = false
-		n.module.List(n.now, placement.ListFailed, nil)
+		kind := placement.ListFailed
+		if in.Silent {
+			kind = placement.ListSilent
+		}
+		n.module.List(n.now, kind, nil)
 		n.ask(Note{"discovery: " + in.Why})
 	case Relocated:
 		n.watching = false
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -42,7 +42,7 @@
 	}
 	unwatched struct {
 		watch context.Context
-		why   string
+		why   error
 	}
 	reloaded struct {
 		config Config
@@ -434,7 +434,7 @@
 		if what.watch.Err() != nil { // called off meanwhile: its end says nothing of the watch that took its place
 			return nil
 		}
-		return node.Unlisted{Why: what.why}
+		return node.Unlisted{Why: what.why.Error(), Silent: errors.Is(what.why, discovery.ErrSilent)}
 	case reloaded:
 		return d.reload(what.config, what.err)
 	case fromTwin:
@@ -539,7 +539,7 @@
 	d.group.Go(func() error {
 		err := d.roster.Watch(ctx, index, func(l roster.List) { d.send(node.Listed{List: l}) })
 		if ctx.Err() == nil {
-			d.send(unwatched{ctx, err.Error()})
+			d.send(unwatched{ctx, err})
 		}
 		return nil
 	})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -148,10 +148,14 @@
 
 // List takes what the list of servers tells.
 func (b *Balancer) List(now float64, kind ListKind, items []Listing) {
-	if kind == ListFailed {
-		b.follows = false
-		b.askGap = min(max(2*b.askGap, 0.5, b.listTime()/2), max(cmp.Or(b.AskWithin, longestHold), 0.5))
-		b.askAt = now + b.askGap*(0.5+b.chance())
+	if kind == ListFailed || kind == ListSilent {
+		// Found at each node by its own clock, which spreads the calls already; seconds are lost by then.
+		wait := b.chance() * min(b.listTime(), 1.5)
+		if kind == ListFailed {
+			b.askGap = min(max(2*b.askGap, beat, b.listTime()/2), max(b.listTime(), 1))
+			wait = b.askGap * (0.5 + b.chance())
+		}
+		b.follows, b.askAt = false, now+wait
 		b.say("list call failed, next in %.1f s, %d servers known", b.askAt-now, len(b.base))
 		return
 	}
@@ -227,7 +231,7 @@
 
 // listTime is what all nodes' calls for the whole list may take, within the time in which each has to ask.
 func (b *Balancer) listTime() float64 {
-	return min(float64(b.Nodes*len(b.base))/listPace, b.AskWithin/2)
+	return min(float64(b.Nodes*len(b.base))/listPace, cmp.Or(b.AskWithin, longestHold)/2)
 }
 
 // ---- flows ----
@@ -395,7 +399,7 @@
 			}
 		}
 	}
-	common := bad / max(all, 1)
+	common, most := bad/max(all, 1), max(1, ready/3)
 	// Guards against a shared store taken for sick servers: where one in twenty errs or gets no answer, and
 	// as many fail at the others, fewer go out: once for all on their way. What breaks is a server that died.
 	if (how == Errored || how == Unanswered) && common > 0.05 && now-b.gateAt >= 0.2 {
@@ -406,7 +410,6 @@
 		b.gate = max(1, 0.7*min(b.gate, float64(b.out+1))) // halving measured no better
 	}
 	// Guards against many dead servers, where a list is late, being taken for a trouble that all share.
-	most := max(1, ready/3)
 	if how == Unreached {
 		common, most = 0, max(1, ready*2/3)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -802,6 +802,43 @@
 	}
 }
 
+// A list that has fallen silent is seconds old already: a few nodes ask anew at once, those of a large fleet over
+// a second and a half beside the two over which they find it, and a refusal after it is waited out as ever. Guards
+// against sends to servers that left meanwhile, while a node waits for its turn to ask.
+func TestSilentList(t *testing.T) {
+	for _, c := range []struct {
+		nodes       int
+		least, most float64 // of the waits' widest
+	}{{1, 0, 0.1}, {6, 0, 0.1}, {300, 1.2, 1.5}, {1100, 1.2, 1.5}} {
+		widest := 0.0
+		for seed := range 60 {
+			b := New(Rundown{Seed: uint64(seed), Nodes: c.nodes, Subscribe: true, AskWithin: 10})
+			var list []Listing
+			for i := range 8 {
+				list = append(list, Listing{Server: i, ID: uint32(i), State: Ready})
+			}
+			b.List(0, ListFull, list)
+			b.List(0, ListSilent, nil)
+			if widest = max(widest, b.askAt); b.askGap != 0 || len(b.base) != 8 {
+				t.Fatalf("%d nodes: gap %.2f s, %d servers", c.nodes, b.askGap, len(b.base))
+			}
+			for now := 0.0; now <= b.askAt; now += beat { // guards against a wish to follow that is never said
+				for d, ok := b.Next(now); ok; d, ok = b.Next(now) {
+					if d.Do == Follow && now < b.askAt {
+						t.Fatalf("%d nodes: asked at %.2f s, not %.2f s", c.nodes, now, b.askAt)
+					}
+				}
+			}
+			if b.List(9, ListFailed, nil); b.askAt <= 9 {
+				t.Fatalf("%d nodes: asked at once after a refusal", c.nodes)
+			}
+		}
+		if widest < c.least || widest > c.most {
+			t.Errorf("%d nodes: the widest wait is %.2f s, wanted %.1f to %.1f s", c.nodes, widest, c.least, c.most)
+		}
+	}
+}
+
 // Whatever comes in, every flow gets one answer and nothing panics.
 func TestOddInput(t *testing.T) {
 	for _, c := range []struct {
--- a/placement/types.go
+++ b/placement/types.go
@@ -75,7 +75,8 @@
 	ListCached ListKind = iota
 	ListChanges
 	ListFull
-	ListFailed
+	ListFailed // the call, or what it had opened
+	ListSilent // what it had opened says nothing any more: the list is seconds old by then
 )
 
 // Arrival is a flow as it reaches this balancer.
