A connect still being dialed when its host begins to drain goes elsewhere at once

Need: rule 3 counts a send from its first byte. A dial begun before a drain was written on whenever it came up, within the settings' dial timeout: where that is longer than the grace, past it.

Change: a list that takes a host out calls back what is not up there (recall); nothing of it is written, so any service type may go elsewhere. What is written stays. Test over draining, gone, once-only; fails without the call.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -71,6 +71,21 @@
 			Since: max(h.Since, 0) / 1e3, Zone: zone, Cell: int(h.Group), Size: max(h.Weight, 0)})
 	}
 	n.module.List(n.now, kind, items)
+	n.recall()
+}
+
+// recall gives up the connects that are still being dialed to hosts that take nothing new by now: nothing of them
+// is written, so each goes elsewhere at once. Guards against a dial that takes long and a line that is written
+// to a host past the grace after it was told to drain (rule 3).
+func (n *Node) recall() {
+	for _, f := range n.flows {
+		if f == nil || !f.out || f.established || f.carried || f.host.up {
+			continue
+		}
+		if h := &n.hosts[f.on]; states[h.told.Status] != placement.Ready {
+			n.connectOver(f, placement.NeverSent)
+		}
+	}
 }
 
 // canServe tells whether clients can be served: a list was told, or discovery is out and the old one must do.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -947,6 +947,61 @@
 	}
 }
 
+// A connect that is still being dialed when its host takes nothing new any more goes elsewhere at once; one whose
+// line is written stays. Guards against a line that is written to a draining host past the grace, by a dial from
+// before (rule 3).
+func TestRecall(t *testing.T) {
+	change := func(l roster.List, status string) roster.List {
+		for i := range l.Hosts {
+			if l.Hosts[i].Name == "s-00000064" {
+				l.Hosts[i].Status = status
+			}
+		}
+		return l
+	}
+	for _, c := range []struct {
+		name, kind, status string
+		up, stays          bool
+	}{
+		{"draining while it is dialed", "chat", "DRAINING", false, false},
+		{"gone while it is dialed", "chat", "DELETED", false, false},
+		{"once-only, draining while it is dialed", "order", "DRAINING", false, false},
+		{"serving all the while", "chat", "SERVING", false, true},
+		{"draining once its line is written", "chat", "DRAINING", true, true},
+	} {
+		w := newWorld(t, "proxy", 2, 1000)
+		client, dial := Conn(0), Conn(0)
+		for i := 0; w.address[dial] != "h0"; i++ {
+			client = w.come(fmt.Sprintf("%x c=%s,t=acme,d=2000", i+1, c.kind))
+			if dial = w.dials[len(w.dials)-1]; w.address[dial] != "h0" {
+				w.say(client, "", Ended)
+			}
+		}
+		if c.up {
+			w.up()
+		}
+		dials := len(w.dials)
+		w.do(Listed{change(hostList(2), c.status)})
+		if c.stays {
+			if len(w.dials) != dials || w.how[dial] == "closed" {
+				t.Errorf("%s: called back", c.name)
+			}
+			continue
+		}
+		w.do(Dialed{Conn: dial}) // it came up all the same
+		if w.how[dial] != "closed" || w.said[dial] != "" {
+			t.Errorf("%s: %s, and told %q", c.name, w.how[dial], w.said[dial])
+		}
+		if len(w.dials) != dials+1 || w.address[w.dials[dials]] != "h1" {
+			t.Fatalf("%s: not sent elsewhere", c.name)
+		}
+		w.say(w.up(), "UP 7\r\n", Open)
+		if w.said[client] != "UP 7\r\n" {
+			t.Errorf("%s: the client was told %q", c.name, w.said[client])
+		}
+	}
+}
+
 // Probes go out once a host was set aside, and their answers bring it back.
 func TestProbes(t *testing.T) {
 	for _, c := range []struct {
