The core alone knows how things stand with the watch of the list, and how old the list is

Need: the watch had two owners, timers in internal/discovery and a flag in the core; the silences that broke rule 3 lay between them, and no emulator could play them, as the timers were not in the core.

Change: internal/node/watch.go owns the state (none, opening, speaking), the silence that is too long and the age of the list, which the log line tells. Discovery only reads, and tells signs of life (Spoke); the sockets tell those of the watch that stands. When to ask anew stays the module's.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -69,6 +69,7 @@
 		fails  string
 		least  time.Duration // how long it takes to give up
 		most   time.Duration
+		signs  int // of life
 	}{
 		{"a whole list and a change, empty lines between", func(w http.ResponseWriter, r *http.Request) {
 			write(w, whole)
@@ -77,43 +78,37 @@
 				write(w, "\n")
 			}
 			write(w, change)
-		}, "41 true s-1 SERVING, 43 false s-1 DRAINING, ", "EOF", 10 * time.Second, 11 * time.Second},
+		}, "41 true s-1 SERVING, 43 false s-1 DRAINING, ", "EOF", 10 * time.Second, 11 * time.Second, 7},
 		{"lists in pieces", func(w http.ResponseWriter, r *http.Request) {
 			write(w, whole[:30])
 			time.Sleep(time.Second)
 			write(w, whole[30:]+change)
-		}, "41 true s-1 SERVING, 43 false s-1 DRAINING, ", "EOF", time.Second, 2 * time.Second},
-		{"a long list in pieces, for longer than a silence", func(w http.ResponseWriter, r *http.Request) {
+		}, "41 true s-1 SERVING, 43 false s-1 DRAINING, ", "EOF", time.Second, 2 * time.Second, 3},
+		{"a long list in pieces", func(w http.ResponseWriter, r *http.Request) {
 			for _, piece := range []string{whole[:10], whole[10:20], whole[20:30], whole[30:]} {
 				write(w, piece)
-				time.Sleep(quiet - time.Millisecond)
+				time.Sleep(time.Second)
 			}
-		}, "41 true s-1 SERVING, ", "EOF", 4*quiet - time.Second, 4 * quiet},
-		{"silent in the middle of a list", func(w http.ResponseWriter, r *http.Request) {
+		}, "41 true s-1 SERVING, ", "EOF", 4 * time.Second, 4 * time.Second, 5},
+		{"broken in the middle of a list", func(w http.ResponseWriter, r *http.Request) {
 			write(w, whole[:30])
-			<-r.Context().Done()
-		}, "", ErrSilent.Error(), quiet, quiet + time.Second},
-		{"silent after the answer's head", func(w http.ResponseWriter, r *http.Request) {
-			w.(http.Flusher).Flush()
-			<-r.Context().Done()
-		}, "", ErrSilent.Error(), quiet, quiet + time.Second},
+			time.Sleep(time.Second)
+			panic(http.ErrAbortHandler)
+		}, "", "unexpected EOF", time.Second, 2 * time.Second, 2},
+		{"in one burst", func(w http.ResponseWriter, r *http.Request) {
+			for range 1000 {
+				write(w, "\n")
+			}
+		}, "", "EOF", 0, time.Second, 2},
 		{"refused", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }, "", "status 503", 0,
-			time.Second},
+			time.Second, 0},
 		{"reset", func(w http.ResponseWriter, r *http.Request) { write(w, whole); panic(http.ErrAbortHandler) },
-			"41 true s-1 SERVING, ", "EOF", 0, time.Second},
-		{"silent from the start", func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
-			"", ErrSilent.Error(), firstWait, firstWait + time.Second},
-		{"silent after a list", func(w http.ResponseWriter, r *http.Request) {
-			write(w,
-				whole)
-			<-r.Context().Done()
-		},
-			"41 true s-1 SERVING, ", ErrSilent.Error(), quiet, quiet + time.Second},
+			"41 true s-1 SERVING, ", "EOF", 0, time.Second, 2},
 		{"no JSON", func(w http.ResponseWriter, r *http.Request) { write(w, "{{\n") }, "", "does not parse", 0,
-			time.Second},
+			time.Second, 2},
 		{"another shape", func(w http.ResponseWriter, r *http.Request) { write(w, `{"index":"x"}`+"\n") }, "",
 			"does not parse",
-			0, time.Second},
+			0, time.Second, 2},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -123,8 +118,8 @@
 					asked <- r.URL.String()
 					c.handle(w, r)
 				})
-				told, began := "", time.Now()
-				err := client.Watch(t.Context(), 40, func(l roster.List) {
+				told, began, signs := "", time.Now(), 0
+				err := client.Watch(t.Context(), 40, func() { signs++ }, func(l roster.List) {
 					told += fmt.Sprint(l.Index, " ", l.Whole, " ")
 					for _, h := range l.Hosts {
 						told += h.Name + " " + h.Status + ", "
@@ -133,6 +128,9 @@
 				if took := time.Since(began); took < c.least || took > c.most {
 					t.Errorf("took %v", took)
 				}
+				if signs != c.signs {
+					t.Errorf("%d signs of life, wanted %d", signs, c.signs)
+				}
 				if told != c.told || err == nil || !strings.Contains(err.Error(), c.fails) {
 					t.Errorf("told %q and failed with %v, wanted %q and %q", told, err, c.told, c.fails)
 				}
@@ -142,36 +140,12 @@
 			})
 		})
 	}
-	// Guards against calls that are all given up before a slow discovery comes to them.
-	t.Run("slower than a call waits at first", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			slow := func(w http.ResponseWriter, r *http.Request) {
-				select {
-				case <-time.After(3 * firstWait):
-					write(w, whole)
-				case <-r.Context().Done():
-				}
-			}
-			client, told, calls := within(t, slow), 0, 0
-			for ; told == 0 && calls < 5; calls++ {
-				again := within(t, slow) // a connection a call
-				client.http = again.http
-				client.Watch(t.Context(), 0, func(roster.List) { told++ })
-			}
-			if told != 1 || calls != 3 {
-				t.Errorf("told %d times after %d calls", told, calls)
-			}
-			if client.answerWithin() != firstWait {
-				t.Error("an answer did not bring the first wait back")
-			}
-		})
-	})
 	t.Run("called off", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			client := within(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 			time.AfterFunc(time.Second, cancel)
-			if err := client.Watch(ctx, 0, nil); !errors.Is(err, context.Canceled) {
+			if err := client.Watch(ctx, 0, nil, nil); !errors.Is(err, context.Canceled) {
 				t.Fatalf("ended with %v", err)
 			}
 		})
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -48,11 +48,10 @@
 	Closed struct{ Conn Conn }
 	// Listed is what discovery told.
 	Listed struct{ List roster.List }
-	// Unlisted says that the watch has failed or ended, or has said nothing for too long.
-	Unlisted struct {
-		Why    string
-		Silent bool
-	}
+	// Spoke is a sign of life of the watch: its answer has begun, or some of it came, if only an empty line.
+	Spoke struct{}
+	// Unlisted says that the watch has failed or ended.
+	Unlisted struct{ Why string }
 	// Relocated says that discovery is at another address now, and the old one about to go.
 	Relocated struct{}
 	// Tick comes when a Timer is due; it may come at any time.
@@ -95,6 +94,7 @@
 func (Wrote) input()     {}
 func (Closed) input()    {}
 func (Listed) input()    {}
+func (Spoke) input()     {}
 func (Unlisted) input()  {}
 func (Relocated) input() {}
 func (Tick) input()      {}
@@ -152,8 +152,10 @@
 		Conn  Conn
 		Reset bool
 	}
-	// Watch asks discovery for what changed after Index, and on from there.
+	// Watch asks discovery for what changed after Index, and on from there, in place of any watch before.
 	Watch struct{ Index int64 }
+	// Unwatch ends the watch.
+	Unwatch struct{}
 	// Timer asks for a Tick at a time.
 	Timer struct{ At float64 }
 	// Note is a line of the log.
@@ -193,6 +195,7 @@
 func (Shut) effect()    {}
 func (Close) effect()   {}
 func (Watch) effect()   {}
+func (Unwatch) effect() {}
 func (Timer) effect()   {}
 func (Note) effect()    {}
 func (Done) effect()    {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,7 +58,7 @@
 	index    int64          // of the last list
 	heard    bool           // discovery has told a list since the start
 	misses   int            // calls of discovery that failed since
-	watching bool           // a watch is asked for or stands
+	watch    watch
 
 	types, tenants, zones map[string]int
 
@@ -105,7 +105,7 @@
 		probes: probeWords(s.Rundown.Reports), mayProbe: s.Rundown.Probes,
 		types: places(s.Door.Types), tenants: places(s.Door.Tenants), zones: places(s.Door.Zones),
 		shut: s.Shut, sockets: s.Sockets, toll: s.Toll + flightSpare, wakeAt: math.Inf(1), timerAt: math.Inf(1),
-		tick: s.Rundown.Tick}
+		tick: s.Rundown.Tick, watch: watch{fresh: now}}
 	for _, name := range s.Door.Types {
 		n.figures.Types = append(n.figures.Types, Tally{Type: name})
 	}
@@ -124,6 +124,7 @@
 	n.lateness(in)
 	n.take(in)
 	n.ringDue()
+	n.hush()
 	if n.now >= n.wakeAt {
 		n.wakeAt = math.Inf(1)
 		n.module.Woken(n.now)
@@ -189,18 +190,12 @@
 		n.closing--
 	case Listed:
 		n.listed(in.List)
+	case Spoke:
+		n.watch.spoke(n.now)
 	case Unlisted:
-		n.misses++
-		n.watching = false
-		kind := placement.ListFailed
-		if in.Silent {
-			kind = placement.ListSilent
-		}
-		n.module.List(n.now, kind, nil)
-		n.ask(Note{"discovery: " + in.Why})
+		n.unlisted(placement.ListFailed, in.Why)
 	case Relocated:
-		n.watching = false
-		n.watch()
+		n.relocated()
 	case Leave:
 		n.leave()
 	case Asked:
@@ -256,7 +251,7 @@
 		case placement.Tell:
 			words = append(words, peers.Word{Host: number(n.hosts[d.Server].name), Load: d.Load})
 		case placement.Follow:
-			n.watch()
+			n.follow()
 		case placement.Wake:
 			n.wakeAt = min(n.wakeAt, n.now+d.Within)
 		case placement.Log:
@@ -268,16 +263,6 @@
 	}
 }
 
-// watch carries out the module's wish to follow the list, also anew where discovery has moved: at once, as
-// the time to wait after failures was for the old address. Guards against a wish from before the move
-// breaking off the watch that is there already.
-func (n *Node) watch() {
-	if !n.watching {
-		n.watching = true
-		n.ask(Watch{n.index})
-	}
-}
-
 // sweep frees the indices of flows for which nothing more can come.
 func (n *Node) sweep() {
 	for _, id := range n.touched {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -25,26 +25,28 @@
 // world stands in for all that is outside the core: it carries out effects and keeps what was written.
 type world struct {
 	*testing.T
-	n       *Node
-	now     float64
-	reads   map[Conn][]byte
-	said    map[Conn]string
-	how     map[Conn]string // dialed, failed, shut, closed, reset
-	address map[Conn]string
-	dials   []Conn // for flows
-	probes  []Conn
-	records []Record
-	watches []int64
-	stalled map[Conn]bool // writes to these are not taken
-	held    []Wrote
-	accepts Conn
-	exited  bool
-	answer  Answer
-	news    []News
-	ready   int
-	passes  []Pass
-	owned   Own
-	words   []peers.Word
+	n         *Node
+	now       float64
+	reads     map[Conn][]byte
+	said      map[Conn]string
+	how       map[Conn]string // dialed, failed, shut, closed, reset
+	address   map[Conn]string
+	dials     []Conn // for flows
+	probes    []Conn
+	records   []Record
+	watches   []int64
+	mute      bool // the watch says nothing
+	unwatches int
+	stalled   map[Conn]bool // writes to these are not taken
+	held      []Wrote
+	accepts   Conn
+	exited    bool
+	answer    Answer
+	news      []News
+	ready     int
+	passes    []Pass
+	owned     Own
+	words     []peers.Word
 }
 
 func newWorld(t *testing.T, mode string, hosts, sockets int) *world {
@@ -115,6 +117,8 @@
 				}
 			case Watch:
 				w.watches = append(w.watches, e.Index)
+			case Unwatch:
+				w.unwatches++
 			case Done:
 				w.records = append(w.records, e.Record)
 			case Exit:
@@ -212,9 +216,13 @@
 }
 
 // pass lets time go by, with a tick as often as the core could ask for one.
+// pass lets time go by, in which the watch says something now and then.
 func (w *world) pass(seconds float64) {
 	for end := w.now + seconds; w.now < end; w.do(Tick{}) {
 		w.now += 0.01
+		if !w.mute && w.n.watch.state != unwatched && w.now-w.n.watch.word >= 2 {
+			w.do(Spoke{})
+		}
 	}
 }
 
@@ -1192,7 +1200,7 @@
 	}{{"refused", false, 70}, {"a list, then its end", true, 250}} {
 		w := newWorld(t, "proxy", 1, 100)
 		w.watches = nil
-		w.n.watching = false
+		w.n.watch.state = unwatched
 		w.do(Unlisted{Why: "the end"})
 		for seen := 0; w.now < 1e9+60; w.pass(0.01) {
 			if len(w.watches) > seen {
--- a/internal/node/timers.go
+++ b/internal/node/timers.go
@@ -43,12 +43,13 @@
 
 // nextDue drops stale entries and gives the time of the first that counts.
 func (n *Node) nextDue() float64 {
+	next := min(n.wakeAt, n.watch.due())
 	for len(n.dues) > 0 {
 		d := n.dues[0]
 		if c := n.conns[d.conn]; c != nil && c.turn == d.turn {
-			return min(d.at, n.wakeAt)
+			return min(d.at, next)
 		}
 		heap.Pop(&n.dues)
 	}
-	return n.wakeAt
+	return next
 }
--- /dev/null
+++ b/internal/node/watch_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"gorseledge/internal/discovery/roster"
+)
+
+// untilAsked lets time go by without a word of the watch until it is asked for anew, and gives how long that took.
+func (w *world) untilAsked(most float64) float64 {
+	w.mute = true
+	began, had := w.now, len(w.watches)
+	for len(w.watches) == had {
+		if w.now-began > most {
+			return math.Inf(1)
+		}
+		w.pass(0.01)
+	}
+	return w.now - began
+}
+
+// Each way in which a watch can fall silent or end, and when the next is asked for. Guards against a list that gets
+// older than what counts as told (rule 3), and against calls that are all given up before a slow discovery has come
+// to them.
+func TestSilentWatch(t *testing.T) {
+	one := func(status string) Listed {
+		return Listed{roster.List{Index: 9, Hosts: []roster.Host{{Name: "s-00000064", Status: status}}}}
+	}
+	for _, c := range []struct {
+		name        string
+		before      []Input
+		least, most float64 // s from the last of these to the next call
+		unwatches   int
+	}{
+		{"a call that nothing answers", []Input{Relocated{}}, answerWait, answerWait + beatOf, 1},
+		{"an answer with nothing in it", []Input{Relocated{}, Spoke{}}, quiet, quiet + beatOf, 1},
+		{"after a list", []Input{Relocated{}, one("SERVING")}, quiet, quiet + beatOf, 1},
+		{"between lines, or in the middle of one", []Input{Relocated{}, one("SERVING"), Spoke{}, Spoke{}}, quiet,
+			quiet + beatOf, 1},
+		{"reset", []Input{Relocated{}, Unlisted{Why: "reset"}}, beatOf / 2, 2 * beatOf, 0},
+		{"reset after a list", []Input{Relocated{}, one("SERVING"), Unlisted{Why: "reset"}}, beatOf / 2, 2 * beatOf, 0},
+		{"refused twice", []Input{Relocated{}, Unlisted{Why: "503"}, Unlisted{Why: "503"}}, beatOf, 4 * beatOf, 0},
+		{"moved while it is waited for", []Input{Unlisted{Why: "503"}, Relocated{}}, answerWait, answerWait + beatOf, 1},
+		{"moved while it is silent", []Input{one("SERVING"), Relocated{}}, answerWait, answerWait + beatOf, 1},
+	} {
+		w := newWorld(t, "proxy", 3, 100)
+		for _, in := range c.before {
+			w.do(in)
+		}
+		if took := w.untilAsked(10); took < c.least-0.01 || took > c.most+0.02 {
+			t.Errorf("%s: asked anew after %.2f s, wanted %.2f to %.2f s", c.name, took, c.least, c.most)
+		}
+		if w.unwatches != c.unwatches {
+			t.Errorf("%s: %d watches ended, wanted %d", c.name, w.unwatches, c.unwatches)
+		}
+		if f := w.asks(HowMany, "").Figures; f.Listed != 3 || f.Avoided != 0 {
+			t.Errorf("%s: %d hosts listed, %d avoided", c.name, f.Listed, f.Avoided)
+		}
+	}
+}
+
+const beatOf = 0.25 // s, the module's pace
+
+// A discovery that answers later than a call waits is waited for twice as long each time, and no longer than
+// needed once it has answered.
+func TestSlowDiscovery(t *testing.T) {
+	w := newWorld(t, "proxy", 3, 100)
+	w.do(Relocated{})
+	for _, want := range []float64{4, 8, 16, 32, 64, 64} {
+		if took := w.untilAsked(100); math.Abs(took-want) > 2*beatOf {
+			t.Fatalf("waited %.2f s, wanted %.0f s", took, want)
+		}
+	}
+	w.do(Spoke{})
+	w.untilAsked(5)
+	if took := w.untilAsked(100); math.Abs(took-answerWait) > 2*beatOf {
+		t.Errorf("waited %.2f s after an answer, wanted %.0f s", took, answerWait)
+	}
+}
+
+// What a watch still says that was given up counts, and one that speaks every two seconds is never given up.
+func TestLateWord(t *testing.T) {
+	w := newWorld(t, "proxy", 3, 100)
+	w.pass(60)
+	if w.unwatches != 0 || !slices.Equal(w.watches, []int64{5}) {
+		t.Fatalf("%d watches given up, asked from %v", w.unwatches, w.watches)
+	}
+	w.untilAsked(10)
+	w.do(Listed{roster.List{Index: 9, Hosts: []roster.Host{{Name: "s-00000064", Status: "DRAINING"}}}})
+	if f := w.asks(HowMany, "").Figures; f.Avoided != 1 {
+		t.Error("a late word was not heard")
+	}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -32,17 +32,18 @@
 
 var errDone = errors.New("nothing is left to do")
 
-// dialed brings a socket to the loop, unwatched and reloaded what became of a watch and of the config when it
-// was read again.
+// dialed brings a socket to the loop, spoke and unwatched what became of a watch, and reloaded what of the config
+// when it was read again.
 type (
 	dialed struct {
 		conn   node.Conn
 		socket *net.TCPConn
 		err    error
 	}
+	spoke     struct{ watch context.Context }
 	unwatched struct {
 		watch context.Context
-		why   error
+		why   string
 	}
 	reloaded struct {
 		config Config
@@ -430,11 +431,16 @@
 			d.link(what.conn, what.socket)
 		}
 		return node.Dialed{Conn: what.conn, Err: what.err, Own: own(what.err)}
+	case spoke:
+		if what.watch.Err() != nil { // called off meanwhile: it says nothing of the watch that took its place
+			return nil
+		}
+		return node.Spoke{}
 	case unwatched:
-		if what.watch.Err() != nil { // called off meanwhile: its end says nothing of the watch that took its place
+		if what.watch.Err() != nil {
 			return nil
 		}
-		return node.Unlisted{Why: what.why.Error(), Silent: errors.Is(what.why, discovery.ErrSilent)}
+		return node.Unlisted{Why: what.why}
 	case reloaded:
 		return d.reload(what.config, what.err)
 	case fromTwin:
@@ -485,6 +491,8 @@
 		delete(d.links, e.Conn)
 	case node.Watch:
 		d.watch(e.Index)
+	case node.Unwatch:
+		d.unwatch()
 	case node.Timer:
 		d.timer.Reset(time.Duration((e.At - d.now()) * 1e9))
 	case node.Note:
@@ -537,9 +545,10 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.unwatch = cancel
 	d.group.Go(func() error {
-		err := d.roster.Watch(ctx, index, func(l roster.List) { d.send(node.Listed{List: l}) })
+		err := d.roster.Watch(ctx, index, func() { d.send(spoke{ctx}) },
+			func(l roster.List) { d.send(node.Listed{List: l}) })
 		if ctx.Err() == nil {
-			d.send(unwatched{ctx, err})
+			d.send(unwatched{ctx, err.Error()})
 		}
 		return nil
 	})
