Emulator: faults of the list, a checker of what counts as told, fleets drawn whole; pushed lists asked anew in time

Change: faults roster_silent, roster_reset, roster_slow, roster_move, dial_late, by script and drawn; discovery beats every 2 s, works through calls in turn where lists are asked for, and answers at once, like an agent, where they are pushed; while it is down such a call waits. The checker of rule 3 goes by when a process counts as told (told.go): asked or pushed, silent, moved, down and back, a call that failed, a start.

--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -1,6 +1,11 @@
 package emulator
 
-import "gorseledge/internal/discovery/roster"
+import (
+	"math/rand/v2"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/node"
+)
 
 // discovery tells the list late and works through calls in turn; one that waits too long fails.
 type discovery struct {
@@ -9,8 +14,12 @@
 	changes []change
 	freeAt  float64
 	late    float64 // on top of the script's delay
+	calls   float64 // a second, that it works through
 	down    bool
+	backAt  float64    // when it was last back, from the start on
 	watches []standing // watches that stand
+	waiting []func()   // for its return
+	chance  *rand.Rand
 }
 
 type change struct {
@@ -24,7 +33,11 @@
 	turn int
 }
 
-const callWait = 3.0 // a call in the queue for longer fails
+const (
+	callWait  = 3.0  // a call in the queue for longer fails
+	heartbeat = 2.0  // between empty lines while nothing changes
+	ownAgent  = 1e-3 // for the answer of a node's own agent, to which lists are pushed
+)
 
 func (w *World) entry(h *host, status string) roster.Host {
 	return roster.Host{Name: h.name, Address: h.name, Zone: zoneName(h.zone), Status: status, Weight: h.capacity,
@@ -44,6 +57,11 @@
 	d.w.after(d.w.script.Fleet.Roster+d.late, func() {
 		d.index++
 		d.changes = append(d.changes, change{d.index, entry})
+		if status == "SERVING" {
+			h.leftAt = 0
+		} else if h.leftAt == 0 {
+			h.leftAt = d.w.now
+		}
 		d.w.trace("listed %s %s", entry.Name, entry.Status)
 		for _, s := range d.watches {
 			d.send(s, roster.List{Index: d.index, Hosts: []roster.Host{entry}})
@@ -51,15 +69,32 @@
 	})
 }
 
+// stands tells whether a watch or a call is still its node's, and is no silent one.
+func (s standing) stands() bool {
+	h := s.n.hearing
+	return s.n.running && s.n.core == s.core && s.n.watch == s.turn && (h.watched || h.pending) && !h.mute
+}
+
 // send hands a list to a watch that still stands.
 func (d *discovery) send(s standing, l roster.List) {
 	d.w.after(1e-3, func() {
-		if !d.down && s.n.running && s.n.core == s.core && s.n.watch == s.turn {
+		if !d.down && s.stands() {
+			s.n.hearing.heard()
 			s.n.give(listed(l))
 		}
 	})
 }
 
+// beat has a watch that stands say something now and then.
+func (d *discovery) beat(s standing) {
+	d.w.after(heartbeat, func() {
+		if !d.down && s.stands() {
+			s.n.give(node.Spoke{})
+			d.beat(s)
+		}
+	})
+}
+
 // whole is the list as discovery has it.
 func (d *discovery) whole() roster.List {
 	l := roster.List{Index: d.index, Whole: true}
@@ -86,43 +121,68 @@
 func (d *discovery) call(n *station, turn int, index int64) {
 	d.w.result.ListCalls++
 	s := standing{n, n.core, turn}
-	d.freeAt = max(d.freeAt, d.w.now)
-	wait := d.freeAt - d.w.now
-	fail := func(after float64, why string) {
-		d.w.after(after, func() {
-			if n.running && n.core == s.core && n.watch == turn {
-				n.give(unlisted(why))
-			}
-		})
+	wait := ownAgent
+	if !d.w.script.Rules.Pushed {
+		d.freeAt = max(d.freeAt, d.w.now)
+		wait += d.freeAt - d.w.now
 	}
-	if d.down || wait > callWait {
-		fail(min(wait+1e-3, callWait), "status 503")
+	n.hearing.asks(d.w.now)
+	switch {
+	case d.down && d.w.script.Rules.Pushed: // its own agent takes the call and has nothing to say
+		d.waiting = append(d.waiting, func() { d.answer(s, index) })
+		return
+	case d.down, wait > callWait:
+		d.fail(s, min(wait, callWait), "status 503")
 		return
+	case !d.w.script.Rules.Pushed:
+		d.freeAt += 1 / d.calls
 	}
-	d.freeAt += 1 / d.w.script.Fleet.Calls
-	d.w.after(wait+1e-3, func() {
+	d.w.after(wait, func() {
 		if d.down {
-			fail(0, "reset")
+			d.fail(s, 0, "reset")
 			return
 		}
-		live := d.watches[:0]
-		for _, o := range d.watches { // a watch taken up again takes the place of the old one
-			if o.n != n && o.n.core == o.core {
-				live = append(live, o)
-			}
+		d.answer(s, index)
+	})
+}
+
+// answer begins a watch with what it missed.
+func (d *discovery) answer(s standing, index int64) {
+	if !s.stands() {
+		return
+	}
+	live := d.watches[:0]
+	for _, o := range d.watches { // a watch taken up again takes the place of the old one
+		if o.n != s.n && o.n.core == o.core {
+			live = append(live, o)
 		}
-		d.watches = append(live, s)
-		if index <= 0 || index > d.index {
-			d.send(s, d.whole())
-			return
+	}
+	d.watches = append(live, s)
+	d.send(s, d.since(index))
+	d.beat(s)
+}
+
+// since is what changed after an index, or the whole list.
+func (d *discovery) since(index int64) roster.List {
+	if index <= 0 || index > d.index {
+		return d.whole()
+	}
+	l := roster.List{Index: d.index}
+	for _, c := range d.changes {
+		if c.index > index {
+			l.Hosts = append(l.Hosts, c.host)
 		}
-		l := roster.List{Index: d.index}
-		for _, c := range d.changes {
-			if c.index > index {
-				l.Hosts = append(l.Hosts, c.host)
-			}
+	}
+	return l
+}
+
+// fail ends a call, or the watch that it became.
+func (d *discovery) fail(s standing, after float64, why string) {
+	d.w.after(after, func() {
+		if s.stands() {
+			s.n.hearing.ended(true)
+			s.n.give(unlisted(why))
 		}
-		d.send(s, l)
 	})
 }
 
@@ -130,10 +190,59 @@
 func (d *discovery) fall(lasts float64) {
 	d.down = true
 	for _, s := range d.watches {
-		if s.n.running && s.n.core == s.core && s.n.watch == s.turn {
-			s.n.give(unlisted("reset"))
+		d.fail(s, 0, "reset")
+	}
+	d.watches = nil
+	d.w.after(lasts, func() {
+		d.down, d.backAt = false, d.w.now
+		for _, answer := range d.waiting {
+			answer()
+		}
+		d.waiting = nil
+	})
+}
+
+// struck draws the processes whose watches and calls a fault befalls.
+func (d *discovery) struck(share float64) (out []*station) {
+	for _, n := range d.w.processes() {
+		if d.chance.Float64() < share && (n.hearing.watched || n.hearing.pending) {
+			out = append(out, n)
 		}
 	}
+	return out
+}
+
+// hush has watches, and calls that wait, say nothing any more; nobody hears of it.
+func (d *discovery) hush(share float64) {
+	for _, n := range d.struck(share) {
+		n.hearing.hushed(d.w.now)
+	}
+}
+
+// cut ends watches, and calls that wait, at once.
+func (d *discovery) cut(share float64) {
+	for _, n := range d.struck(share) {
+		d.fail(standing{n, n.core, n.watch}, 0, "reset")
+	}
+}
+
+// move sends the nodes, one by one within some time, to a discovery that knows the same hosts and begins its index
+// anew; the old one is gone with its watches.
+func (d *discovery) move(within float64) {
+	hosts := d.whole().Hosts
+	d.changes, d.index = nil, 1
+	for _, h := range hosts {
+		d.changes = append(d.changes, change{1, h})
+	}
 	d.watches = nil
-	d.w.after(lasts, func() { d.down = false })
+	for _, n := range d.w.processes() {
+		core := n.core
+		n.watch++ // nothing more comes from the old one
+		d.w.after(within*d.chance.Float64(), func() {
+			if n.running && n.core == core {
+				n.hearing = hearing{movedAt: d.w.now, calledAt: d.w.now, bootAt: n.hearing.bootAt}
+				n.give(node.Relocated{})
+			}
+		})
+	}
 }
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "slices"
+import (
+	"maps"
+	"math"
+	"slices"
+)
 
 // befall has a fault happen now.
 func (w *World) befall(f Fault) {
@@ -33,6 +37,19 @@
 		w.after(f.For, func() { w.discovery.late -= f.By })
 	case "roster_down":
 		w.discovery.fall(f.For)
+	case "roster_slow":
+		was := w.discovery.calls
+		w.discovery.calls = max(f.By, 0.1)
+		w.after(f.For, func() { w.discovery.calls = was })
+	case "roster_silent":
+		w.discovery.hush(f.By)
+	case "roster_reset":
+		w.discovery.cut(f.By)
+	case "roster_move":
+		w.discovery.move(f.For)
+	case "dial_late":
+		w.net.late += f.By
+		w.after(f.For, func() { w.net.late -= f.By })
 	case "drop":
 		for _, c := range w.clients {
 			if c.up && w.chance.Float64() < f.By {
@@ -162,7 +179,11 @@
 			Host: chance.IntN(max(f.Hosts, 1)), Node: chance.IntN(f.Nodes), Zone: chance.IntN(f.Zones),
 			Count: 1 + chance.IntN(max(f.Hosts/2, 1))}
 		switch x.Kind {
-		case "drop", "errs":
+		case "dial_late":
+			x.By = chance.Float64()
+		case "roster_slow":
+			x.By = float64(f.Nodes) * (0.1 + chance.Float64()) // a whole fleet's calls within one to ten seconds
+		case "drop", "errs", "roster_silent", "roster_reset":
 			x.By = 0.2 + 0.5*chance.Float64()
 		case "store_slow":
 			x.By = 1 + 20*chance.Float64()
@@ -175,3 +196,26 @@
 	}
 	return out
 }
+
+// draw gives a script whose fleet and rules come from the seed: 5 to 350 nodes and 4 to 600 hosts, small ones as often
+// as large ones.
+func (s Scenario) draw(seed uint64) Scenario {
+	chance := fork(seed, "settings", 0)
+	between := func(least, most float64) float64 { return least + (most-least)*chance.Float64() }
+	spread := func(least, most float64) int { return int(least * math.Pow(most/least, chance.Float64())) }
+	s.Fleet.Nodes, s.Fleet.Hosts = spread(5, 351), spread(4, 601)
+	s.Fleet.Zones = 1 + chance.IntN(4)
+	s.Fleet.Calls = float64(s.Fleet.Nodes) * between(0.2, 2) // a whole fleet's calls within half a second to five
+	s.Fleet.Roster = between(0.1, 3)
+	s.Rules.Grace, s.Rules.DialTimeout, s.Rules.AskWithin = between(0.25, 1), between(0.1, 1.5), between(5, 15)
+	s.Rules.Pushed = chance.IntN(2) == 0
+	kinds := slices.Sorted(maps.Keys(effects))
+	s.Traffic = slices.Clone(s.Traffic)
+	for i := range s.Traffic {
+		t := &s.Traffic[i]
+		t.Effect, t.Span = kinds[chance.IntN(len(kinds))], between(1, 8)
+		t.Timeout = between(1, 4)
+		t.Target = min(t.Target, t.Timeout/2)
+	}
+	return s
+}
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -30,6 +30,7 @@
 	capacity float64
 	since    float64 // when it started; 0 for long ago
 	state    state
+	leftAt   float64 // when discovery could first tell that it drains or is gone; 0 for not
 	running  bool
 	stalled  bool
 	slow     float64 // by what its work takes longer; 1 for sound
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -69,8 +69,8 @@
 	if told, ok := n.out[h.name]; ok && r.w.now > told+r.w.script.Rules.Grace {
 		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it said that it is out", n.name, f.id, h.name, r.w.now-told)
 	}
-	if told, ok := n.told[h.name]; ok && r.w.now > told+r.w.script.Rules.Grace {
-		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it learned", n.name, f.id, h.name, r.w.now-told)
+	if told := r.countsAt(n, h); r.w.now > told+r.w.script.Rules.Grace+ruleSlack {
+		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it counts as told", n.name, f.id, h.name, r.w.now-told)
 	}
 }
 
--- a/internal/emulator/script.go
+++ b/internal/emulator/script.go
@@ -20,6 +20,7 @@
 	Traffic []Traffic `toml:"traffic"`
 	Faults  []Fault   `toml:"fault"`
 	Drawn   int       `toml:"drawn_faults"` // further faults, drawn from the seed
+	Any     bool      `toml:"drawn_fleet"`  // sizes, effects, deadlines, grace and the way of lists, drawn from the seed
 }
 
 // Fleet is what stands at the start.
@@ -56,6 +57,8 @@
 	MaxConnects  int     `toml:"max_connects"`
 	RetryAfter   float64 `toml:"retry_after"`
 	AskWithin    float64 `toml:"ask_within"`
+	DialTimeout  float64 `toml:"dial_timeout"`
+	Pushed       bool    `toml:"pushed"` // lists are pushed to each node's agent: what that has counts as told
 }
 
 // Traffic is one service type.
@@ -90,24 +93,29 @@
 
 // kinds of faults, and what each one needs.
 var kinds = map[string]struct{ host, node, zone, count, lasts, by bool }{
-	"grow":         {count: true},
-	"shrink":       {count: true, lasts: true},
-	"release":      {count: true, lasts: true}, // hosts are replaced in turn
-	"zone_loss":    {zone: true, lasts: true},  // and comes back cold
-	"roster_late":  {lasts: true, by: true},
-	"roster_down":  {lasts: true},
-	"drop":         {by: true, lasts: true}, // that share of the clients, and back within that time
-	"slow":         {host: true, lasts: true, by: true},
-	"errs":         {host: true, lasts: true, by: true},
-	"crash":        {host: true, lasts: true},
-	"vanish":       {host: true, lasts: true},
-	"drain":        {host: true, lasts: true},
-	"stall":        {host: true, lasts: true}, // takes connections and says nothing: a fault in mid-handshake
-	"store_slow":   {lasts: true, by: true},
-	"hand":         {host: true, lasts: true}, // out by hand at every node, restarted meanwhile, put back
-	"upgrade":      {node: true},              // a new process beside the old one
-	"node_kill":    {node: true, lasts: true},
-	"node_restart": {node: true, lasts: true}, // asked to leave first
+	"grow":          {count: true},
+	"shrink":        {count: true, lasts: true},
+	"release":       {count: true, lasts: true}, // hosts are replaced in turn
+	"zone_loss":     {zone: true, lasts: true},  // and comes back cold
+	"roster_late":   {lasts: true, by: true},
+	"roster_down":   {lasts: true},
+	"roster_slow":   {lasts: true, by: true}, // works through that many calls a second
+	"roster_silent": {by: true},              // that share of the nodes' watches and calls say nothing any more
+	"roster_reset":  {by: true},              // or end at once
+	"roster_move":   {lasts: true},           // nodes are sent to another discovery within that time; its index begins anew
+	"dial_late":     {lasts: true, by: true}, // connections to hosts come up so many seconds late
+	"drop":          {by: true, lasts: true}, // that share of the clients, and back within that time
+	"slow":          {host: true, lasts: true, by: true},
+	"errs":          {host: true, lasts: true, by: true},
+	"crash":         {host: true, lasts: true},
+	"vanish":        {host: true, lasts: true},
+	"drain":         {host: true, lasts: true},
+	"stall":         {host: true, lasts: true}, // takes connections and says nothing: a fault in mid-handshake
+	"store_slow":    {lasts: true, by: true},
+	"hand":          {host: true, lasts: true}, // out by hand at every node, restarted meanwhile, put back
+	"upgrade":       {node: true},              // a new process beside the old one
+	"node_kill":     {node: true, lasts: true},
+	"node_restart":  {node: true, lasts: true}, // asked to leave first
 }
 
 // Kinds gives the names of all faults.
@@ -127,7 +135,7 @@
 			CPU: 20e-6, Sockets: 1024},
 		Network: Network{Near: 2e-4, Far: 1e-3, Jitter: 0.3, Pieces: 0.1},
 		Rules: Rules{Grace: 0.4, Answer: 0.05, FallMultiple: 4, FallFor: 1, MaxConnects: 4, RetryAfter: 2,
-			AskWithin: 10}}
+			AskWithin: 10, DialTimeout: 0.25}}
 }
 
 // ReadFile reads a script. What is wrong with it is one message with file and line.
@@ -176,7 +184,7 @@
 		{rule("drain_grace"), r.Grace, 0, 100}, {rule("answer_slack"), r.Answer, 0, 10},
 		{rule("fall_multiple"), r.FallMultiple, 1, 1e3}, {rule("fall_for"), r.FallFor, 0.01, 100},
 		{rule("max_connects"), float64(r.MaxConnects), 1, 100}, {rule("retry_after"), r.RetryAfter, 0, 100},
-		{rule("ask_within"), r.AskWithin, 0, 1e4}}
+		{rule("ask_within"), r.AskWithin, 0, 1e4}, {rule("dial_timeout"), r.DialTimeout, 1e-3, 100}}
 	for i, t := range s.Traffic {
 		of := func(key string) strict.Place { return strict.Place{Table: "traffic", Nth: i, Key: key} }
 		if t.Name == "" || strings.ContainsAny(t.Name, " ,=\r\n") {
@@ -209,6 +217,10 @@
 			return of("zone"), fmt.Errorf("there is no zone %d: the fleet has %d, from 0 on", x.Zone, f.Zones)
 		case needs.count && (x.Count < 1 || x.Count > 5000):
 			return of("count"), fmt.Errorf("%s needs a count from 1 to 5000, not %d", x.Kind, x.Count)
+		case (x.Kind == "roster_silent" || x.Kind == "roster_reset") && !(x.By > 0 && x.By <= 1):
+			return of("by"), fmt.Errorf("%s needs a share of the nodes over 0 and up to 1, not %v", x.Kind, x.By)
+		case x.Kind == "roster_slow" && x.By < 0.1:
+			return of("by"), fmt.Errorf("roster_slow needs 0.1 calls a second or more, not %v", x.By)
 		}
 	}
 	for _, x := range figures {
--- a/internal/emulator/station.go
+++ b/internal/emulator/station.go
@@ -29,6 +29,7 @@
 	watch   int     // number of the watch that stands
 	timer   int
 	told    map[string]float64 // when it learned that a host drains or is gone
+	hearing hearing
 	out     map[string]float64 // when it said yes to a host taken out by hand
 	elder   *station           // the process before this one, and the one after it, while there are two
 	heir    *station
@@ -119,6 +120,9 @@
 	case node.Watch:
 		n.watch++
 		n.w.discovery.call(n, n.watch, e.Index)
+	case node.Unwatch:
+		n.watch++
+		n.hearing.ended(false)
 	case node.Timer:
 		n.timer++
 		turn, core := n.timer, n.core
@@ -206,7 +210,7 @@
 		fail(2 * n.w.net.delay(n.machine, h.machine))
 		return
 	}
-	took := 2 * n.w.net.delay(n.machine, h.machine)
+	took := 2*n.w.net.delay(n.machine, h.machine) + n.w.net.late
 	if took > e.Within {
 		fail(e.Within)
 		return
--- /dev/null
+++ b/internal/emulator/told.go
@@ -0,0 +1,75 @@
+package emulator
+
+import "math"
+
+// What counts as told, by the protocol.
+const (
+	silenceCounts = 6.0  // s after a watch fell silent
+	moveCounts    = 4.0  // s after a node was told of discovery's new address
+	failedCounts  = 4    // times as long after a call that failed
+	ruleSlack     = 0.05 // s that each time limit is longer on sockets
+)
+
+// hearing is what a process has of the list, as it truly is; the process may take it otherwise.
+type hearing struct {
+	watched  bool    // a watch stands that has told something
+	pending  bool    // a call waits for its answer
+	mute     bool    // what stands or waits says nothing any more
+	silentAt float64 // since when that is so, or was at the watch before, until the next word; 0 for not
+	movedAt  float64 // when it was sent to another discovery, which it has not heard yet; 0 for not
+	calledAt float64 // its last call
+	failed   bool    // that one failed
+	bootAt   float64
+}
+
+// heard takes a word of the watch that stands.
+func (h *hearing) heard() {
+	h.watched, h.pending, h.silentAt, h.movedAt, h.failed = true, false, 0, 0, false
+}
+
+// ended takes the end of a watch, or of a call for one, which failed or was given up.
+func (h *hearing) ended(failed bool) {
+	h.failed = failed && h.pending
+	h.watched, h.pending, h.mute = false, false, false
+}
+
+// asks takes a call for a watch.
+func (h *hearing) asks(now float64) {
+	h.watched, h.pending, h.mute, h.calledAt = false, true, false, now
+}
+
+// hushed takes the silence of what stands or waits.
+func (h *hearing) hushed(now float64) {
+	h.mute = true
+	if h.silentAt == 0 {
+		h.silentAt = now
+	}
+}
+
+// countsAt gives the time from which on a process counts as told that a host takes nothing new, infinite for not
+// yet: when it was told, or would have been had it followed the list as the settings ask.
+func (r *rules) countsAt(n *station, h *host) float64 {
+	told := math.Inf(1)
+	if at, ok := n.told[h.name]; ok {
+		told = at
+	}
+	d, e := r.w.discovery, n.hearing
+	if h.leftAt == 0 {
+		return told
+	}
+	switch {
+	case d.down: // it learns nothing
+	case e.movedAt > 0 && (!e.failed || r.w.script.Rules.Pushed):
+		return min(told, max(h.leftAt, d.backAt, e.movedAt+moveCounts))
+	case e.silentAt > 0 && (e.mute || !e.failed || r.w.script.Rules.Pushed):
+		return min(told, max(h.leftAt, d.backAt, e.silentAt+silenceCounts))
+	case r.w.script.Rules.Pushed:
+		return min(told, max(h.leftAt, d.backAt, e.bootAt))
+	case e.watched || e.pending:
+	case e.failed:
+		return min(told, max(h.leftAt, max(e.calledAt, d.backAt)+failedCounts*r.w.script.Rules.AskWithin))
+	default:
+		return min(told, max(h.leftAt, max(e.calledAt, d.backAt)+r.w.script.Rules.AskWithin))
+	}
+	return told
+}
--- /dev/null
+++ b/internal/emulator/told_test.go
@@ -0,0 +1,166 @@
+package emulator
+
+import (
+	"testing"
+
+	"gorseledge/internal/node"
+)
+
+// patient hears a watch that says nothing.
+type patient struct{ Core }
+
+func (p *patient) Apply(now float64, in node.Input) []node.Effect {
+	out := append([]node.Effect(nil), p.Core.Apply(now, node.Spoke{})...)
+	return append(out, p.Core.Apply(now, in)...)
+}
+
+// sulking never asks again once a watch has ended.
+type sulking struct{ Core }
+
+func (s *sulking) Apply(now float64, in node.Input) []node.Effect {
+	switch in.(type) {
+	case node.Unlisted:
+		in = node.Spoke{}
+	case node.Tick:
+		return (&patient{s.Core}).Apply(now, in)
+	}
+	return s.Core.Apply(now, in)
+}
+
+// settled stays with the discovery that it knows.
+type settled struct{ Core }
+
+func (s *settled) Apply(now float64, in node.Input) []node.Effect {
+	if _, moved := in.(node.Relocated); moved {
+		in = node.Spoke{}
+	}
+	return (&sulking{s.Core}).Apply(now, in)
+}
+
+// behind takes each list only after all that came to it within a second.
+type behind struct {
+	Core
+	lists []node.Listed
+	since []float64
+}
+
+func (b *behind) Apply(now float64, in node.Input) (out []node.Effect) {
+	for len(b.lists) > 0 && now > b.since[0]+1 {
+		out = append(out, b.Core.Apply(now, b.lists[0])...)
+		b.lists, b.since = b.lists[1:], b.since[1:]
+	}
+	if l, ok := in.(node.Listed); ok && !l.List.Whole {
+		b.lists, b.since = append(b.lists, l), append(b.since, now)
+		in = node.Spoke{}
+	}
+	return append(out, b.Core.Apply(now, in)...)
+}
+
+// headlong takes no list while it dials.
+type headlong struct {
+	Core
+	dials map[node.Conn]bool
+	lists []node.Listed
+}
+
+func (h *headlong) Apply(now float64, in node.Input) (out []node.Effect) {
+	switch in := in.(type) {
+	case node.Dialed:
+		delete(h.dials, in.Conn)
+	case node.Listed:
+		if len(h.dials) > 0 {
+			h.lists = append(h.lists, in)
+			return nil
+		}
+	}
+	out = append(out, h.Core.Apply(now, in)...)
+	for ; len(h.dials) == 0 && len(h.lists) > 0; h.lists = h.lists[1:] {
+		out = append(out, h.Core.Apply(now, h.lists[0])...)
+	}
+	for _, e := range out {
+		if d, ok := e.(node.Dial); ok {
+			h.dials[d.Conn] = true
+		}
+	}
+	return out
+}
+
+// forgetful takes over with every host serving.
+type forgetful struct{ Core }
+
+func (f *forgetful) Apply(now float64, in node.Input) []node.Effect {
+	if i, ok := in.(node.Inherited); ok {
+		for k := range i.Legacy.Hosts {
+			i.Legacy.Hosts[k].Status = "SERVING"
+		}
+		i.Legacy.Index++ // as if it were newer than what it has
+	}
+	return f.Core.Apply(now, in)
+}
+
+const drained = `
+[[fault]]
+at = 10
+kind = "drain"
+host = 1
+for = 15
+[[fault]]
+at = 10
+kind = "drain"
+host = 2
+for = 15
+`
+
+// Each way in which a node counts as told without having heard, or hears too late what it was told: the checker fires
+// on a node that is wrong in just that way, and on no sound one.
+func TestCountsAsTold(t *testing.T) {
+	const silent, reset = "[[fault]]\nat = 9\nkind = \"roster_silent\"\nby = 1\n", "[[fault]]\nat = 9\nkind = \"roster_reset\"\nby = 1\n"
+	const down, move = "[[fault]]\nat = 8\nkind = \"roster_down\"\nfor = 4\n", "[[fault]]\nat = 9\nkind = \"roster_move\"\nfor = 1\n"
+	const late = "[[fault]]\nat = 5\nkind = \"dial_late\"\nfor = 20\nby = 0.9\n"
+	const rules, pushed = "[rules]\nask_within = 5\n", "[rules]\npushed = true\n"
+	for _, c := range []struct {
+		name, rules, faults string
+		wrap                func(Core) Core
+	}{
+		{"silence is not noticed, asked", rules, silent, func(c Core) Core { return &patient{c} }},
+		{"silence is not noticed, pushed", pushed, silent, func(c Core) Core { return &patient{c} }},
+		{"reset and not asked again, asked", rules, reset, func(c Core) Core { return &sulking{c} }},
+		{"reset and not asked again, pushed", pushed, reset, func(c Core) Core { return &sulking{c} }},
+		{"down, and not asked again, pushed", pushed, down, func(c Core) Core { return &sulking{c} }},
+		{"moved, and the old one asked", rules, move, func(c Core) Core { return &settled{c} }},
+		{"moved, and the old one asked, pushed", pushed, move, func(c Core) Core { return &settled{c} }},
+		{"lists wait behind other inputs", rules, "", func(c Core) Core { return &behind{Core: c} }},
+		{"a dial from before", "[rules]\ndial_timeout = 2\n", late, func(c Core) Core {
+			return &headlong{Core: c, dials: map[node.Conn]bool{}}
+		}},
+		{"an heir that knows of no drain", rules, "[[fault]]\nat = 13\nkind = \"upgrade\"\nnode = 0\n" +
+			"[[fault]]\nat = 13\nkind = \"upgrade\"\nnode = 1\n", func(c Core) Core { return &forgetful{c} }},
+	} {
+		s := script(t, calm+c.rules+drained+c.faults)
+		fired := 0
+		for seed := range uint64(4) {
+			for _, b := range Play(s, seed, Options{Wrong: c.wrap}).Breaks {
+				if b.Rule == Drains {
+					fired++
+				}
+			}
+			for _, b := range Play(s, seed, Options{}).Breaks {
+				t.Errorf("%s, seed %d: the sound node broke %v", c.name, seed, b)
+			}
+		}
+		if fired == 0 {
+			t.Errorf("%s: did not fire", c.name)
+		}
+	}
+}
+
+// A handful of seeds with drawn fleets and drawn faults: no rule is broken.
+func TestDrawnFleets(t *testing.T) {
+	s := script(t, "drawn_fleet = true\ndrawn_faults = 8\n"+calm)
+	s.Lasts = 20
+	for seed := range uint64(8) {
+		for _, b := range Play(s, seed, Options{Permute: seed%2 == 1}).Breaks {
+			t.Errorf("seed %d: %v", seed, b)
+		}
+	}
+}
--- a/internal/emulator/wire.go
+++ b/internal/emulator/wire.go
@@ -46,6 +46,7 @@
 	jitter    float64 // share of the delay
 	bandwidth float64 // of one connection; 0 for no limit
 	joined    int
+	late      float64 // by which connections come up late now
 	pieces    float64 // chance that what is written arrives in two pieces
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -83,6 +83,9 @@
 
 // Play plays a script once.
 func Play(s Scenario, seed uint64, o Options) *Result {
+	if s.Any {
+		s = s.draw(seed)
+	}
 	w := newWorld(s, seed, o)
 	end := s.Lasts + s.Settle
 	for w.step(end) {
@@ -112,7 +115,7 @@
 	}
 	w.result = &Result{Scenario: s.Name, Seed: seed, setups: hdrhistogram.New(1, 1e9, 3)}
 	w.rules, w.store = &rules{w: w}, &store{w: w, bears: s.Fleet.Store}
-	w.discovery = &discovery{w: w}
+	w.discovery = &discovery{w: w, calls: s.Fleet.Calls, chance: fork(seed, "discovery", 0)}
 	for range s.Fleet.Hosts {
 		w.addHost(0)
 	}
@@ -161,6 +164,7 @@
 	}
 	n.running, n.vanished, n.conns, n.told = true, false, map[node.Conn]*port{}, map[string]float64{}
 	n.leaving, n.given, n.elder, n.heir = false, false, nil, nil
+	n.hearing = hearing{bootAt: w.now, calledAt: w.now}
 	n.out = map[string]float64{} // a process that starts by itself knows of none
 	n.last, n.watch, n.timer, n.freeAt = n.last|1, n.watch+1, n.timer+1, w.now
 	known := w.discovery.whole()
@@ -194,12 +198,16 @@
 	for z := range s.Fleet.Zones {
 		zones = append(zones, zoneName(z))
 	}
-	text, err := json.Marshal(object{"siblings": s.Fleet.Nodes, "granularity_us": 1000, "membership_mode": "subscribe",
+	mode := "subscribe"
+	if r.Pushed {
+		mode = "automatic"
+	}
+	text, err := json.Marshal(object{"siblings": s.Fleet.Nodes, "granularity_us": 1000, "membership_mode": mode,
 		"zones": zones, "service_types": types, "parties": []object{{"name": "all"}},
 		"family_info": object{"mode": "proxy", "message_aim_us": aims, "tells_load": true, "tells_delay": true},
 		"invariants": object{"ask_within_us": 1e6 * r.AskWithin, "cold_from": s.Fleet.ColdFrom,
 			"cold_us": 1e6 * s.Fleet.ColdFor, "fall_multiple": r.FallMultiple, "fall_us": 1e6 * r.FallFor},
-		"limits": object{"dial_timeout_us": 250000, "max_connects": r.MaxConnects, "max_retry_after_us": 1e6 * r.RetryAfter,
+		"limits": object{"dial_timeout_us": 1e6 * r.DialTimeout, "max_connects": r.MaxConnects, "max_retry_after_us": 1e6 * r.RetryAfter,
 			"probes": true, "retry_after": r.RetryAfter > 0}})
 	if err != nil {
 		panic(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,9 @@
 
 // New gives a node at its start; the first Apply is due at once.
 func New(now float64, s Start) *Node {
+	if s.Door.Pushed { // lists are pushed to the machine's own agent: what that has counts at once
+		s.Rundown.AskWithin = agentWithin
+	}
 	s.Rundown.Subscribe = true // on sockets the list always comes by a watch
 	// A host sends a line back at once, also when its work piles up. Guards against hosts taken for jammed
 	// that are not: where reports tell the load itself, the time of a probe adds nothing but noise.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -14,6 +14,10 @@
 	quiet      = 2.5 // s; a watch says something every two seconds
 	answerWait = 4.0 // s, for an answer to begin: discovery works through calls in turn
 	patience   = 4   // doublings of answerWait at the most
+
+	// Where lists are pushed nobody else waits for this machine's agent, and no grace covers a node that does not
+	// ask it. Guards against a discovery that is back while its nodes still wait for their turn.
+	agentWithin = 0.5
 )
 
 type watchState uint8
--- a/internal/rundown/rundown.go
+++ b/internal/rundown/rundown.go
@@ -22,6 +22,7 @@
 	Longest     float64 // the longest connect timeout
 	TellsLoad   bool    // hosts tell a connection's load
 	TellsDelay  bool    // hosts tell how long a message takes
+	Pushed      bool    // lists come on their own, to an agent on the node's machine
 	PassThrough bool    // packets pass through: connections outlive the node
 }
 
@@ -98,7 +99,8 @@
 		r.RetryAdvice = span(s.Limits.MaxRetryAfter)
 	}
 	d := Door{Fields: s.Reporting.Fields, Zones: s.Zones, DialTimeout: span(s.Limits.DialTimeout),
-		TellsLoad: s.Family.TellsLoad, TellsDelay: s.Family.TellsDelay, PassThrough: s.Family.Mode == "pass"}
+		TellsLoad: s.Family.TellsLoad, TellsDelay: s.Family.TellsDelay, PassThrough: s.Family.Mode == "pass",
+		Pushed: s.Membership == "automatic"}
 	for _, p := range s.Parties {
 		d.Tenants = append(d.Tenants, p.Name)
 	}
--- a/internal/rundown/rundown_test.go
+++ b/internal/rundown/rundown_test.go
@@ -29,6 +29,7 @@
 					SetupTarget: span(5e5), MessageAim: span(50000)}, {Effect: placement.OnceOnly}}},
 			Door{Fields: []string{"x0"}, Types: []string{"s", "u"}, Tenants: []string{"a"}, Zones: []string{"z"},
 				DialTimeout: 0.25, Longest: 3, PassThrough: true, TellsDelay: true, TellsLoad: true}, ""},
+		{"lists that are pushed", `{"membership_mode":"automatic"}`, placement.Rundown{Seed: 9}, Door{Pushed: true}, ""},
 		{"no retry time allowed", `{"limits":{"max_retry_after_us":2e6}}`, placement.Rundown{Seed: 9}, Door{}, ""},
 		{"below nothing", `{"granularity_us":-4,"siblings":-2,"limits":{"max_connects":-1}}`,
 			placement.Rundown{Seed: 9},
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -107,7 +107,7 @@
 
 // New gives an instance that knows nothing but its rundown.
 func New(r Rundown) *Balancer {
-	r.Nodes, r.MaxConnects = max(r.Nodes, 1), max(r.MaxConnects, 0)
+	r.Nodes, r.AskWithin = max(r.Nodes, 1), cmp.Or(r.AskWithin, longestHold)
 	if len(r.Types) == 0 {
 		r.Types = make([]ServiceType, 1) // the strictest row for whatever comes
 	}
@@ -152,7 +152,7 @@
 		// Found at each node by its own clock, which spreads the calls already; seconds are lost by then.
 		wait := b.chance() * min(b.listTime(), 1.5)
 		if kind == ListFailed {
-			b.askGap = min(max(2*b.askGap, beat, b.listTime()/2), max(b.listTime(), 1))
+			b.askGap = min(max(2*b.askGap, beat, b.listTime()/2), max(b.listTime(), beat, min(1, b.AskWithin/2)))
 			wait = b.askGap * (0.5 + b.chance())
 		}
 		b.follows, b.askAt = false, now+wait
@@ -231,7 +231,7 @@
 
 // listTime is what all nodes' calls for the whole list may take, within the time in which each has to ask.
 func (b *Balancer) listTime() float64 {
-	return min(float64(b.Nodes*len(b.base))/listPace, cmp.Or(b.AskWithin, longestHold)/2)
+	return min(float64(b.Nodes*len(b.base))/listPace, b.AskWithin/2)
 }
 
 // ---- flows ----
