--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -17,6 +17,7 @@
 	calls   float64 // a second, that it works through
 	down    bool
 	backAt  float64    // when it was last back, from the start on
+	moved   int        // how often nodes were sent to another
 	watches []standing // watches that stand
 	waiting []func()   // for its return
 	chance  *rand.Rand
@@ -80,6 +81,7 @@
 	d.w.after(1e-3, func() {
 		if !d.down && s.stands() {
 			s.n.hearing.heard()
+			s.n.hearing.numbered = d.moved
 			s.n.give(listed(l))
 		}
 	})
@@ -158,6 +160,9 @@
 		}
 	}
 	d.watches = append(live, s)
+	if s.n.hearing.numbered != d.moved { // an index that it never gave
+		index = 0
+	}
 	d.send(s, d.since(index))
 	d.beat(s)
 }
@@ -227,20 +232,21 @@
 }
 
 // move sends the nodes, one by one within some time, to a discovery that knows the same hosts and begins its index
-// anew; the old one is gone with its watches.
+// anew; the watches of the old one fall silent. A node that asks before it is sent finds the new one as well.
 func (d *discovery) move(within float64) {
 	hosts := d.whole().Hosts
-	d.changes, d.index = nil, 1
+	d.changes, d.index, d.moved = nil, 1, d.moved+1
 	for _, h := range hosts {
 		d.changes = append(d.changes, change{1, h})
 	}
 	d.watches = nil
 	for _, n := range d.w.processes() {
 		core := n.core
-		n.watch++ // nothing more comes from the old one
+		n.hearing.hushed(d.w.now) // nothing more comes from the old one
 		d.w.after(within*d.chance.Float64(), func() {
 			if n.running && n.core == core {
-				n.hearing = hearing{movedAt: d.w.now, calledAt: d.w.now, bootAt: n.hearing.bootAt}
+				h := &n.hearing
+				*h = hearing{movedAt: d.w.now, calledAt: d.w.now, bootAt: h.bootAt, numbered: h.numbered}
 				n.give(node.Relocated{})
 			}
 		})
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -42,6 +42,8 @@
 	overAt   float64    // since when it is asked for more than a cold host bears; 0 for not
 	jamAt    float64
 	told     float64 // the delay that its connections were told last
+	aware    int     // connects since its start from nodes that had been told of it
+	unaware  int     // and from others
 	probes   int
 	connects int
 }
@@ -260,6 +262,7 @@
 func (h *host) crash() {
 	h.running = false
 	h.machine.die(bySerial)
+	h.aware, h.unaware = 0, 0
 	h.held, h.order, h.load, h.pending = map[*session]bool{}, nil, 0, 0
 }
 
@@ -267,6 +270,7 @@
 func (h *host) start() {
 	h.running, h.vanished, h.stalled, h.state = true, false, false, serving
 	h.since, h.slow, h.errs, h.overAt, h.jamAt, h.told = h.w.now, 1, 0, 0, 0, 0
+	h.aware, h.unaware = 0, 0
 	h.held, h.order, h.load, h.pending = map[*session]bool{}, nil, 0, 0
 }
 
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -60,15 +60,24 @@
 
 // sent is a first line that a node has written to a host.
 func (r *rules) sent(f *flow, n *station, h *host) {
+	r.w.trace("%s sends %s to %s", n.name, f.id, h.name)
 	if f.out > 1 {
 		r.broken(OneOut, "flow %s has %d connects out", f.id, f.out)
 	}
 	if f.answers > 0 {
 		r.broken(OneAnswer, "flow %s was sent on after its answer", f.id)
 	}
+	if f.ranAt > 0 && f.effect == "referenced" && r.w.now > f.ranAt+r.w.script.Traffic[f.kind].Span {
+		r.broken(NoTwice, "flow %s was sent to %s after the memory span", f.id, h.name)
+	}
 	if told, ok := n.out[h.name]; ok && r.w.now > told+r.w.script.Rules.Grace {
 		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it said that it is out", n.name, f.id, h.name, r.w.now-told)
 	}
+	if n.starts[h.name] == 1e3*since(r.w.base, h.since) {
+		h.aware++
+	} else {
+		h.unaware++
+	}
 	if told := r.countsAt(n, h); r.w.now > told+r.w.script.Rules.Grace+ruleSlack {
 		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it counts as told", n.name, f.id, h.name, r.w.now-told)
 	}
@@ -79,9 +88,6 @@
 	if f.ranAt > 0 && f.effect == "once-only" {
 		r.broken(NoTwice, "flow %s reached %s after %s, where it may have run", f.id, h.name, f.ranOn.name)
 	}
-	if f.ranAt > 0 && f.effect == "referenced" && r.w.now > f.ranAt+r.w.script.Traffic[f.kind].Span {
-		r.broken(NoTwice, "flow %s reached %s after the memory span", f.id, h.name)
-	}
 	if f.rejected && f.effect == "once-only" {
 		r.broken(NoTwice, "flow %s was rejected and reached %s", f.id, h.name)
 	}
@@ -89,6 +95,7 @@
 
 // ran is a set-up that was carried out.
 func (r *rules) ran(f *flow, h *host) {
+	r.w.trace("%s ran at %s", f.id, h.name)
 	if f.runs++; f.runs > 1 && f.effect == "once-only" {
 		r.broken(NoTwice, "flow %s ran at %s and at %s", f.id, f.ranOn.name, h.name)
 	}
@@ -97,7 +104,13 @@
 	}
 }
 
+// fell is a cold host that was pushed over. The rule asks who did: over two thirds of what it was sent must have come
+// from nodes that had been told of its start.
 func (r *rules) fell(h *host) {
+	if 3*h.aware <= 2*(h.aware+h.unaware) {
+		r.w.trace("%s fell over, of %d connects %d from nodes that knew of its start", h.name, h.aware+h.unaware, h.aware)
+		return
+	}
 	r.broken(Cold, "%s fell over %.1f s after its start, asked for %.1f of %.1f cores", h.name, r.w.now-h.since, h.load+h.pending,
 		h.capacity*h.warmth())
 }
--- a/internal/emulator/station.go
+++ b/internal/emulator/station.go
@@ -29,6 +29,7 @@
 	watch   int     // number of the watch that stands
 	timer   int
 	told    map[string]float64 // when it learned that a host drains or is gone
+	starts  map[string]float64 // when a host last started, as it was told
 	hearing hearing
 	out     map[string]float64 // when it said yes to a host taken out by hand
 	elder   *station           // the process before this one, and the one after it, while there are two
@@ -78,6 +79,7 @@
 // learned notes since when the node knows that a host takes nothing new.
 func (n *station) learned(l roster.List) {
 	for _, h := range l.Hosts {
+		n.starts[h.Name] = h.Since
 		if h.Status == "SERVING" {
 			delete(n.told, h.Name)
 		} else if _, known := n.told[h.Name]; !known {
--- a/internal/emulator/told.go
+++ b/internal/emulator/told.go
@@ -20,6 +20,7 @@
 	calledAt float64 // its last call
 	failed   bool    // that one failed
 	bootAt   float64
+	numbered int // which discovery's index it has
 }
 
 // heard takes a word of the watch that stands.
@@ -66,10 +67,12 @@
 	case r.w.script.Rules.Pushed:
 		return min(told, max(h.leftAt, d.backAt, e.bootAt))
 	case e.watched || e.pending:
-	case e.failed:
-		return min(told, max(h.leftAt, max(e.calledAt, d.backAt)+failedCounts*r.w.script.Rules.AskWithin))
 	default:
-		return min(told, max(h.leftAt, max(e.calledAt, d.backAt)+r.w.script.Rules.AskWithin))
+		span := r.w.script.Rules.AskWithin
+		if e.failed {
+			span *= failedCounts
+		}
+		return min(told, max(h.leftAt, e.calledAt, d.backAt)+span)
 	}
 	return told
 }
--- a/internal/emulator/twin.go
+++ b/internal/emulator/twin.go
@@ -94,7 +94,7 @@
 		panic(err) // the settings are made here
 	}
 	heir := &station{machine: newMachine(old.name, old.zone), w: w, index: old.index, last: old.last, freeAt: w.now, running: true,
-		conns: map[node.Conn]*port{}, told: maps.Clone(old.told), out: maps.Clone(old.out), elder: old, hearing: hearing{bootAt: w.now, calledAt: w.now},
+		conns: map[node.Conn]*port{}, told: maps.Clone(old.told), out: maps.Clone(old.out), starts: maps.Clone(old.starts), elder: old, hearing: hearing{bootAt: w.now, calledAt: w.now, numbered: old.hearing.numbered},
 		adopted: map[node.Conn]*port{}}
 	left := crossed(old.ask(node.Asked{What: node.Claim}).Legacy)
 	old.heir = heir
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -163,8 +163,9 @@
 		w.options.Tune(&r)
 	}
 	n.running, n.vanished, n.conns, n.told = true, false, map[node.Conn]*port{}, map[string]float64{}
+	n.starts = map[string]float64{}
 	n.leaving, n.given, n.elder, n.heir = false, false, nil, nil
-	n.hearing = hearing{bootAt: w.now, calledAt: w.now}
+	n.hearing = hearing{bootAt: w.now, calledAt: w.now, numbered: w.discovery.moved}
 	n.out = map[string]float64{} // a process that starts by itself knows of none
 	n.last, n.watch, n.timer, n.freeAt = n.last|1, n.watch+1, n.timer+1, w.now
 	known := w.discovery.whole()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,9 +96,12 @@
 
 // New gives a node at its start; the first Apply is due at once.
 func New(now float64, s Start) *Node {
+	follows := watch{fresh: now, patience: longest}
 	if s.Door.Pushed { // lists are pushed to the machine's own agent: what that has counts at once
-		s.Rundown.AskWithin = agentWithin
+		s.Rundown.AskWithin, follows.patience = agentWithin, 0
 	}
+	// Guards against a referenced flow that is sent again within its memory span and arrives past it.
+	s.Rundown.DialWithin = s.Door.DialTimeout
 	s.Rundown.Subscribe = true // on sockets the list always comes by a watch
 	// A host sends a line back at once, also when its work piles up. Guards against hosts taken for jammed
 	// that are not: where reports tell the load itself, the time of a probe adds nothing but noise.
@@ -108,7 +111,7 @@
 		probes: probeWords(s.Rundown.Reports), mayProbe: s.Rundown.Probes,
 		types: places(s.Door.Types), tenants: places(s.Door.Tenants), zones: places(s.Door.Zones),
 		shut: s.Shut, sockets: s.Sockets, toll: s.Toll + flightSpare, wakeAt: math.Inf(1), timerAt: math.Inf(1),
-		tick: s.Rundown.Tick, watch: watch{fresh: now}}
+		tick: s.Rundown.Tick, watch: follows}
 	for _, name := range s.Door.Types {
 		n.figures.Types = append(n.figures.Types, Tally{Type: name})
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -13,7 +13,7 @@
 const (
 	quiet      = 2.5 // s; a watch says something every two seconds
 	answerWait = 4.0 // s, for an answer to begin: discovery works through calls in turn
-	patience   = 4   // doublings of answerWait at the most
+	longest    = 4   // doublings of answerWait at the most
 
 	// Where lists are pushed nobody else waits for this machine's agent, and no grace covers a node that does not
 	// ask it. Guards against a discovery that is back while its nodes still wait for their turn.
@@ -34,14 +34,16 @@
 	word       float64 // when it was asked for, or last said anything
 	fresh      float64 // when a watch last said anything: all that changed up to then is known
 	unanswered int     // calls in a row that were given up before an answer began
+	patience   int     // doublings of answerWait at the most
 }
 
 // due is when the silence of a watch is too long, infinite where there is none. Guards against a discovery that
-// needs longer than a call waits: no call of any node would ever be answered.
+// needs longer than a call waits: no call of any node would ever be answered. The machine's own agent, to which
+// lists are pushed, has no others to serve first: one that does not answer is silent.
 func (w *watch) due() float64 {
 	switch w.state {
 	case opening:
-		return w.word + answerWait*math.Exp2(float64(min(w.unanswered, patience)))
+		return w.word + answerWait*math.Exp2(float64(min(w.unanswered, w.patience)))
 	case speaking:
 		return w.word + quiet
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -611,7 +611,7 @@
 	if f.ranAt < 0 || t.Effect == Repeatable {
 		return true
 	}
-	if t.Effect == OnceOnly || now >= f.ranAt+t.MemorySpan {
+	if t.Effect == OnceOnly || now+b.DialWithin >= f.ranAt+t.MemorySpan {
 		return false
 	}
 	was, to := b.servers[f.ranOn].Listing, b.servers[at].Listing
--- a/placement/types.go
+++ b/placement/types.go
@@ -33,6 +33,7 @@
 	Nodes        int     // balancers that share the fleet, this one included
 	Tick         float64 // shortest gap between two rounds of inputs
 	MaxConnects  int
+	DialWithin   float64 // from a decision to connect until the line is written, at the most
 	Probes       bool
 	RetryAdvice  float64 // longest retry time a client follows; 0 where none is allowed
 	Subscribe    bool    // the list must be asked for
