--- a/internal/emulator/told.go
+++ b/internal/emulator/told.go
@@ -60,7 +60,7 @@
 	}
 	switch {
 	case d.down: // it learns nothing
-	case e.movedAt > 0 && (!e.failed || r.w.script.Rules.Pushed):
+	case e.movedAt > e.silentAt && (!e.failed || r.w.script.Rules.Pushed): // a silence that came later has its own clock
 		return min(told, max(h.leftAt, d.backAt, e.movedAt+moveCounts))
 	case e.silentAt > 0 && (e.mute || !e.failed || r.w.script.Rules.Pushed):
 		return min(told, max(h.leftAt, d.backAt, e.silentAt+silenceCounts))
