--- a/internal/emulator/told.go
+++ b/internal/emulator/told.go
@@ -39,11 +39,10 @@
 	h.watched, h.pending, h.mute, h.calledAt = false, true, false, now
 }
 
-// hushed takes the silence of what stands or waits.
+// hushed takes the silence of what stands or waits, which has a clock of its own.
 func (h *hearing) hushed(now float64) {
-	h.mute = true
-	if h.silentAt == 0 {
-		h.silentAt = now
+	if h.watched || h.pending {
+		h.mute, h.silentAt = true, now
 	}
 }
 
