--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -205,7 +205,7 @@
 	spread := func(least, most float64) int { return int(least * math.Pow(most/least, chance.Float64())) }
 	s.Fleet.Nodes, s.Fleet.Hosts = spread(5, 351), spread(4, 601)
 	s.Fleet.Zones = 1 + chance.IntN(4)
-	s.Fleet.Calls = float64(s.Fleet.Nodes) * between(0.2, 2) // a whole fleet's calls within half a second to five
+	s.Fleet.Calls = float64(s.Fleet.Nodes) * between(0.3, 2) // all nodes' calls within half a second to three (docs/operating.md)
 	s.Fleet.Roster = between(0.1, 3)
 	s.Rules.Grace, s.Rules.DialTimeout, s.Rules.AskWithin = between(0.25, 1), between(0.1, 1.5), between(5, 15)
 	s.Rules.Pushed = chance.IntN(2) == 0
