One stand-in connection for tests of the list; the emulator's calls for lists told apart by whom they reach

The pipes that stand in for discovery stood twice, in the tests of internal/discovery and of internal/sockets: discoverytest serves both. The emulator's call asked three times whether lists are pushed; whether a watch stands or a call waits was written out four times (open). The age of a list at a node that has heard nothing counts from its start, and says so.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -5,56 +5,21 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"gorseledge/internal/discovery/discoverytest"
 	"gorseledge/internal/discovery/roster"
 )
 
-// within gives a client of a stand-in for discovery. Pipes stand in for the network, so that the clock of the
-// test decides what is late.
+// within gives a client of a stand-in for discovery.
 func within(t *testing.T, handle http.HandlerFunc) *Client {
-	dial := func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		server := &http.Server{Handler: handle}
-		ln := &single{far: far, done: make(chan struct{})}
-		go server.Serve(ln)
-		t.Cleanup(func() { ln.Close(); server.Close(); near.Close() })
-		return near, nil
-	}
-	return Through(dial, "discovery")
-}
-
-// single is a listener of one connection.
-type single struct {
-	far  net.Conn
-	done chan struct{}
-}
-
-func (s *single) Accept() (net.Conn, error) {
-	if far := s.far; far != nil {
-		s.far = nil
-		return far, nil
-	}
-	<-s.done
-	return nil, net.ErrClosed
+	return Through(discoverytest.Dialer(t, handle), "discovery")
 }
 
-func (s *single) Close() error {
-	select {
-	case <-s.done:
-	default:
-		close(s.done)
-	}
-	return nil
-}
-
-func (s *single) Addr() net.Addr { return &net.TCPAddr{} }
-
 func TestWatch(t *testing.T) {
 	write := func(w http.ResponseWriter, text string) {
 		io.WriteString(w, text)
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -37,7 +37,7 @@
 const (
 	callWait  = 3.0  // a call in the queue for longer fails
 	heartbeat = 2.0  // between empty lines while nothing changes
-	ownAgent  = 1e-3 // for the answer of a node's own agent, to which lists are pushed
+	toAsk     = 1e-3 // for a call whose turn it is, as it always is at the agent to which lists are pushed
 )
 
 func (w *World) entry(h *host, status string) roster.Host {
@@ -72,8 +72,8 @@
 
 // stands tells whether a watch or a call is still its node's, and is no silent one.
 func (s standing) stands() bool {
-	h := s.n.hearing
-	return s.n.running && s.n.core == s.core && s.n.watch == s.turn && (h.watched || h.pending) && !h.mute
+	h := &s.n.hearing
+	return s.n.running && s.n.core == s.core && s.n.watch == s.turn && h.open() && !h.mute
 }
 
 // send hands a list to a watch that still stands.
@@ -123,22 +123,27 @@
 func (d *discovery) call(n *station, turn int, index int64) {
 	d.w.result.ListCalls++
 	s := standing{n, n.core, turn}
-	wait := ownAgent
-	if !d.w.script.Rules.Pushed {
-		d.freeAt = max(d.freeAt, d.w.now)
-		wait += d.freeAt - d.w.now
-	}
 	n.hearing.asks(d.w.now)
-	switch {
-	case d.down && d.w.script.Rules.Pushed: // its own agent takes the call and has nothing to say
-		d.waiting = append(d.waiting, func() { d.answer(s, index) })
+	if d.w.script.Rules.Pushed {
+		if d.down { // its own agent takes the call and has nothing to say
+			d.waiting = append(d.waiting, func() { d.answer(s, index) })
+		} else {
+			d.answerAfter(toAsk, s, index)
+		}
 		return
-	case d.down, wait > callWait:
+	}
+	d.freeAt = max(d.freeAt, d.w.now)
+	wait := d.freeAt - d.w.now + toAsk
+	if d.down || wait > callWait {
 		d.fail(s, min(wait, callWait), "status 503")
 		return
-	case !d.w.script.Rules.Pushed:
-		d.freeAt += 1 / d.calls
 	}
+	d.freeAt += 1 / d.calls
+	d.answerAfter(wait, s, index)
+}
+
+// answerAfter answers a call in its turn, unless discovery is down by then.
+func (d *discovery) answerAfter(wait float64, s standing, index int64) {
 	d.w.after(wait, func() {
 		if d.down {
 			d.fail(s, 0, "reset")
@@ -210,7 +215,7 @@
 // struck draws the processes whose watches and calls a fault befalls.
 func (d *discovery) struck(share float64) (out []*station) {
 	for _, n := range d.w.processes() {
-		if d.chance.Float64() < share && (n.hearing.watched || n.hearing.pending) {
+		if d.chance.Float64() < share && n.hearing.open() {
 			out = append(out, n)
 		}
 	}
--- a/internal/emulator/told.go
+++ b/internal/emulator/told.go
@@ -23,6 +23,9 @@
 	numbered int // which discovery's index it has
 }
 
+// open tells whether a watch stands or a call waits.
+func (h *hearing) open() bool { return h.watched || h.pending }
+
 // heard takes a word of the watch that stands.
 func (h *hearing) heard() {
 	h.watched, h.pending, h.silentAt, h.movedAt, h.failed = true, false, 0, 0, false
@@ -41,7 +44,7 @@
 
 // hushed takes the silence of what stands or waits, which has a clock of its own.
 func (h *hearing) hushed(now float64) {
-	if h.watched || h.pending {
+	if h.open() {
 		h.mute, h.silentAt = true, now
 	}
 }
@@ -65,7 +68,7 @@
 		return min(told, max(h.leftAt, d.backAt, e.silentAt+silenceCounts))
 	case r.w.script.Rules.Pushed:
 		return min(told, max(h.leftAt, d.backAt, e.bootAt))
-	case e.watched || e.pending:
+	case e.open():
 	default:
 		span := r.w.script.Rules.AskWithin
 		if e.failed {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -32,7 +32,7 @@
 type watch struct {
 	state      watchState
 	word       float64 // when it was asked for, or last said anything
-	fresh      float64 // when a watch last said anything: all that changed up to then is known
+	fresh      float64 // when a watch last said anything, or this process began
 	unanswered int     // calls in a row that were given up before an answer began
 	patience   int     // doublings of answerWait at the most
 }
--- a/internal/sockets/silence_test.go
+++ b/internal/sockets/silence_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gorseledge/internal/discovery"
+	"gorseledge/internal/discovery/discoverytest"
 	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/node"
 	"gorseledge/placement"
@@ -23,42 +23,6 @@
 // countsAsTold is the time after which what a silent watch does not bring counts as told, by the protocol.
 const countsAsTold = 6 * time.Second
 
-// piped gives a dialer of a stand-in for discovery. Pipes stand in for the network, so that the clock of the
-// test decides what is late.
-func piped(t *testing.T, handle http.HandlerFunc) func(context.Context, string, string) (net.Conn, error) {
-	return func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		ln := &oneConn{far: far, done: make(chan struct{})}
-		server := &http.Server{Handler: handle}
-		go server.Serve(ln)
-		t.Cleanup(func() { ln.Close(); server.Close(); near.Close() })
-		return near, nil
-	}
-}
-
-// oneConn is a listener of one connection.
-type oneConn struct {
-	far  net.Conn
-	done chan struct{}
-	once sync.Once
-}
-
-func (s *oneConn) Accept() (net.Conn, error) {
-	if far := s.far; far != nil {
-		s.far = nil
-		return far, nil
-	}
-	<-s.done
-	return nil, net.ErrClosed
-}
-
-func (s *oneConn) Close() error {
-	s.once.Do(func() { close(s.done) })
-	return nil
-}
-
-func (s *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
-
 // silence is a discovery whose watches all fall silent at one moment, also those that it has not answered yet;
 // right after that hosts begin to drain.
 type silence struct {
@@ -129,7 +93,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					told := make(chan time.Duration, 4)
 					began := time.Now()
-					d, cancel := follower(t, uint64(seed), c.nodes, piped(t, c.watch(began, told)))
+					d, cancel := follower(t, uint64(seed), c.nodes, discoverytest.Dialer(t, c.watch(began, told)))
 					ended := make(chan error, 1)
 					go func() { ended <- d.loop(nil) }()
 					select {
