One virtual clock for both emulators

The emulator of members had an event queue of its own beside the emulator's clock, in the same order of time and turn. The clock is now internal/emulator/virtual and serves both.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -54,7 +54,7 @@
 // come sends a first line to a node that the front names.
 func (c *client) come() {
 	w := c.w
-	if c.gone || w.now > w.script.Lasts {
+	if c.gone || w.Now > w.script.Lasts {
 		return
 	}
 	c.turn++
@@ -66,7 +66,7 @@
 	}
 	w.flows++
 	f := &flow{id: strconv.FormatUint(uint64(w.flows)<<20|0xabcde, 16), kind: c.kind, effect: c.t.Effect, load: c.load,
-		lives: c.stay, due: w.now + c.t.Timeout}
+		lives: c.stay, due: w.Now + c.t.Timeout}
 	w.byID[f.id] = f
 	c.flow, c.up, c.text, c.sentAt = f, false, nil, 0
 	mine, theirs := w.net.join(c.machine, to.machine)
@@ -86,8 +86,8 @@
 	w.result.Asked++
 	mine.send(fmt.Appendf(nil, "OPEN %s %016x c=%s,t=all,d=%d,g=%x%s\r\n", f.id, c.key, c.t.Name,
 		int(c.t.Timeout*1e3), c.group, again))
-	w.net.after(w.net.delay(c.machine, to.machine), func() { to.accept(theirs, f) })
-	w.after(c.t.Timeout, func() {
+	w.net.After(w.net.delay(c.machine, to.machine), func() { to.accept(theirs, f) })
+	w.After(c.t.Timeout, func() {
 		if c.turn == turn && !c.up && f.answers == 0 {
 			w.result.Unanswered++
 			w.rules.overdue(f)
@@ -155,9 +155,9 @@
 	w.rules.answered(c.flow)
 	switch word {
 	case line.Up:
-		c.up, c.upAt, c.tries = true, w.now, 0
+		c.up, c.upAt, c.tries = true, w.Now, 0
 		w.result.Established++
-		took := w.now - (c.flow.due - c.t.Timeout)
+		took := w.Now - (c.flow.due - c.t.Timeout)
 		w.result.setup(took)
 		if took <= c.t.Target {
 			w.result.InTarget++
@@ -189,10 +189,10 @@
 		return
 	}
 	if c.sentAt == 0 {
-		c.sentAt = c.w.now
+		c.sentAt = c.w.Now
 		c.s.send([]byte("x\r\n"))
 	}
-	c.w.after(2, func() {
+	c.w.After(2, func() {
 		if c.turn == turn && c.up {
 			c.account()
 			c.beat(turn)
@@ -203,10 +203,10 @@
 // account adds the time since the last to what was asked for and, unless a line waits too long, to what was
 // served.
 func (c *client) account() {
-	span := c.w.now - c.upAt
-	c.upAt = c.w.now
+	span := c.w.Now - c.upAt
+	c.upAt = c.w.Now
 	c.stay -= span
-	if late := c.sentAt > 0 && c.w.now-c.sentAt > max(c.t.Message, 0.01); !late {
+	if late := c.sentAt > 0 && c.w.Now-c.sentAt > max(c.t.Message, 0.01); !late {
 		c.served += span
 	}
 	c.asked += span
@@ -230,5 +230,5 @@
 		c.asked += max(c.stay, 0)
 		return
 	}
-	c.w.after(wait, c.come)
+	c.w.After(wait, c.come)
 }
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -55,13 +55,13 @@
 // tell has the list change after the delay.
 func (d *discovery) tell(h *host, status string) {
 	entry := d.w.entry(h, status)
-	d.w.after(d.w.script.Fleet.Roster+d.late, func() {
+	d.w.After(d.w.script.Fleet.Roster+d.late, func() {
 		d.index++
 		d.changes = append(d.changes, change{d.index, entry})
 		if status == "SERVING" {
 			h.leftAt = 0
 		} else if h.leftAt == 0 {
-			h.leftAt = d.w.now
+			h.leftAt = d.w.Now
 		}
 		d.w.trace("listed %s %s", entry.Name, entry.Status)
 		for _, s := range d.watches {
@@ -78,7 +78,7 @@
 
 // send hands a list to a watch that still stands.
 func (d *discovery) send(s standing, l roster.List) {
-	d.w.after(1e-3, func() {
+	d.w.After(1e-3, func() {
 		if !d.down && s.stands() {
 			s.n.hearing.heard()
 			s.n.hearing.numbered = d.moved
@@ -89,7 +89,7 @@
 
 // beat has a watch that stands say something now and then.
 func (d *discovery) beat(s standing) {
-	d.w.after(heartbeat, func() {
+	d.w.After(heartbeat, func() {
 		if !d.down && s.stands() {
 			s.n.give(node.Spoke{})
 			d.beat(s)
@@ -123,7 +123,7 @@
 func (d *discovery) call(n *station, turn int, index int64) {
 	d.w.result.ListCalls++
 	s := standing{n, n.core, turn}
-	n.hearing.asks(d.w.now)
+	n.hearing.asks(d.w.Now)
 	if d.w.script.Rules.Pushed {
 		if d.down { // its own agent takes the call and has nothing to say
 			d.waiting = append(d.waiting, func() { d.answer(s, index) })
@@ -132,8 +132,8 @@
 		}
 		return
 	}
-	d.freeAt = max(d.freeAt, d.w.now)
-	wait := d.freeAt - d.w.now + toAsk
+	d.freeAt = max(d.freeAt, d.w.Now)
+	wait := d.freeAt - d.w.Now + toAsk
 	if d.down || wait > callWait {
 		d.fail(s, min(wait, callWait), "status 503")
 		return
@@ -144,7 +144,7 @@
 
 // answerAfter answers a call in its turn, unless discovery is down by then.
 func (d *discovery) answerAfter(wait float64, s standing, index int64) {
-	d.w.after(wait, func() {
+	d.w.After(wait, func() {
 		if d.down {
 			d.fail(s, 0, "reset")
 			return
@@ -188,7 +188,7 @@
 
 // fail ends a call, or the watch that it became.
 func (d *discovery) fail(s standing, after float64, why string) {
-	d.w.after(after, func() {
+	d.w.After(after, func() {
 		if s.stands() {
 			s.n.hearing.ended(true)
 			s.n.give(unlisted(why))
@@ -203,8 +203,8 @@
 		d.fail(s, 0, "reset")
 	}
 	d.watches = nil
-	d.w.after(lasts, func() {
-		d.down, d.backAt = false, d.w.now
+	d.w.After(lasts, func() {
+		d.down, d.backAt = false, d.w.Now
 		for _, answer := range d.waiting {
 			answer()
 		}
@@ -225,7 +225,7 @@
 // hush has watches, and calls that wait, say nothing any more; nobody hears of it.
 func (d *discovery) hush(share float64) {
 	for _, n := range d.struck(share) {
-		n.hearing.hushed(d.w.now)
+		n.hearing.hushed(d.w.Now)
 	}
 }
 
@@ -247,11 +247,11 @@
 	d.watches = nil
 	for _, n := range d.w.processes() {
 		core := n.core
-		n.hearing.hushed(d.w.now) // nothing more comes from the old one
-		d.w.after(within*d.chance.Float64(), func() {
+		n.hearing.hushed(d.w.Now) // nothing more comes from the old one
+		d.w.After(within*d.chance.Float64(), func() {
 			if n.running && n.core == core {
 				h := &n.hearing
-				*h = hearing{movedAt: d.w.now, calledAt: d.w.now, bootAt: h.bootAt, numbered: h.numbered}
+				*h = hearing{movedAt: d.w.Now, calledAt: d.w.Now, bootAt: h.bootAt, numbered: h.numbered}
 				n.give(node.Relocated{})
 			}
 		})
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -13,15 +13,15 @@
 	switch f.Kind {
 	case "grow":
 		for range f.Count {
-			w.addHost(w.now)
+			w.addHost(w.Now)
 		}
 	case "shrink", "release":
 		for i := range f.Count {
-			w.after(f.For*float64(i)/float64(f.Count), func() {
+			w.After(f.For*float64(i)/float64(f.Count), func() {
 				if h := w.oldest(); h != nil {
 					w.retire(h)
 					if f.Kind == "release" {
-						w.addHost(w.now)
+						w.addHost(w.Now)
 					}
 				}
 			})
@@ -34,13 +34,13 @@
 		}
 	case "roster_late":
 		w.discovery.late += f.By
-		w.after(f.For, func() { w.discovery.late -= f.By })
+		w.After(f.For, func() { w.discovery.late -= f.By })
 	case "roster_down":
 		w.discovery.fall(f.For)
 	case "roster_slow":
 		was := w.discovery.calls
 		w.discovery.calls = max(f.By, 0.1)
-		w.after(f.For, func() { w.discovery.calls = was })
+		w.After(f.For, func() { w.discovery.calls = was })
 	case "roster_silent":
 		w.discovery.hush(f.By)
 	case "roster_reset":
@@ -49,7 +49,7 @@
 		w.discovery.move(f.For)
 	case "dial_late":
 		w.net.late += f.By
-		w.after(f.For, func() { w.net.late -= f.By })
+		w.After(f.For, func() { w.net.late -= f.By })
 	case "drop":
 		for _, c := range w.clients {
 			if c.up && w.chance.Float64() < f.By {
@@ -61,15 +61,15 @@
 	case "slow":
 		h := host()
 		h.slow = max(f.By, 1)
-		w.after(f.For, func() { h.slow = 1 })
+		w.After(f.For, func() { h.slow = 1 })
 	case "errs":
 		h := host()
 		h.errs = f.By
-		w.after(f.For, func() { h.errs = 0 })
+		w.After(f.For, func() { h.errs = 0 })
 	case "crash":
 		if h := host(); h.running {
 			h.crash()
-			w.after(f.For, func() { w.revive(h) })
+			w.After(f.For, func() { w.revive(h) })
 		}
 	case "vanish":
 		w.lose(host(), f.For)
@@ -77,16 +77,16 @@
 		if h := host(); h.state == serving {
 			h.state = draining
 			w.discovery.tell(h, "DRAINING")
-			w.after(f.For, func() { w.remove(h) })
+			w.After(f.For, func() { w.remove(h) })
 		}
 	case "stall":
 		h := host()
 		h.stalled = true
-		w.after(f.For, func() { h.stalled = false })
+		w.After(f.For, func() { h.stalled = false })
 	case "store_slow":
 		was := w.store.bears
 		w.store.bears = max(f.By, 0.1)
-		w.after(f.For, func() { w.store.bears = was })
+		w.After(f.For, func() { w.store.bears = was })
 	case "hand":
 		w.maintain(host(), f.For)
 	case "upgrade":
@@ -98,7 +98,7 @@
 		if n.running {
 			n.leaving = true
 			n.give(leave)
-			w.after(4, func() { w.kill(n, f.For) })
+			w.After(4, func() { w.kill(n, f.For) })
 		}
 	}
 }
@@ -116,7 +116,7 @@
 func (w *World) retire(h *host) {
 	h.state = draining
 	w.discovery.tell(h, "DRAINING")
-	w.after(6, func() { w.remove(h) })
+	w.After(6, func() { w.remove(h) })
 }
 
 func (w *World) remove(h *host) {
@@ -136,7 +136,7 @@
 		return
 	}
 	h.vanished = true
-	w.after(lasts, func() {
+	w.After(lasts, func() {
 		h.vanished = false
 		h.crash()
 		w.revive(h)
@@ -162,7 +162,7 @@
 		w.nodes[n.index], n.elder = old, nil
 		return
 	}
-	w.after(back, func() {
+	w.After(back, func() {
 		if !n.running && w.nodes[n.index] == n {
 			w.boot(n)
 		}
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -66,7 +66,7 @@
 	if h.since <= 0 || f.ColdFor <= 0 {
 		return 1
 	}
-	return min(1, f.ColdFrom+(1-f.ColdFrom)*(h.w.now-h.since)/f.ColdFor)
+	return min(1, f.ColdFrom+(1-f.ColdFrom)*(h.w.Now-h.since)/f.ColdFor)
 }
 
 // use is the load asked over what it can do now.
@@ -125,7 +125,7 @@
 // later runs something for this session, unless it is over by then.
 func (c *session) later(seconds float64, run func()) {
 	since := c.since
-	c.w.after(seconds, func() {
+	c.w.After(seconds, func() {
 		if !c.over && c.running && !c.stalled && c.since == since {
 			run()
 		}
@@ -203,7 +203,7 @@
 		return
 	}
 	rules := h.w.script.Rules
-	now := h.w.now
+	now := h.w.Now
 	live := h.order[:0]
 	for _, c := range h.order {
 		if h.held[c] {
@@ -269,7 +269,7 @@
 // start runs it anew, cold.
 func (h *host) start() {
 	h.running, h.vanished, h.stalled, h.state = true, false, false, serving
-	h.since, h.slow, h.errs, h.overAt, h.jamAt, h.told = h.w.now, 1, 0, 0, 0, 0
+	h.since, h.slow, h.errs, h.overAt, h.jamAt, h.told = h.w.Now, 1, 0, 0, 0, 0
 	h.aware, h.unaware = 0, 0
 	h.held, h.order, h.load, h.pending = map[*session]bool{}, nil, 0, 0
 }
@@ -285,7 +285,7 @@
 }
 
 func (s *store) call() (took float64, ok bool) {
-	if sec := math.Floor(s.w.now); sec != s.second {
+	if sec := math.Floor(s.w.Now); sec != s.second {
 		s.second, s.calls = sec, 0
 	}
 	s.calls++
--- a/internal/emulator/members/world.go
+++ b/internal/emulator/members/world.go
@@ -3,12 +3,12 @@
 package members
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 
 	"google.golang.org/protobuf/proto"
 
+	"gorseledge/internal/emulator/virtual"
 	"gorseledge/internal/membership"
 	"gorseledge/internal/membership/wire"
 )
@@ -32,37 +32,13 @@
 	membership.Changed
 }
 
-type item struct {
-	at    float64
-	order uint64
-	node  int
-	tick  bool
-	msg   *wire.Message
-	do    func()
-}
-
-type queue []item
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(item)) }
-func (q *queue) Pop() any {
-	last := len(*q) - 1
-	x := (*q)[last]
-	*q = (*q)[:last]
-	return x
-}
-
 // node is one process.
 type node struct {
 	*membership.Members
 	name, address string
 	down          bool
 	stopped       bool
-	held          []item // what came while it was stopped
+	held          []*wire.Message // what came while it was stopped
 	tickAt        float64
 	replaced      bool
 }
@@ -70,22 +46,20 @@
 // World is a fleet under way.
 type World struct {
 	Options
-	Now      float64
+	virtual.Clock
 	Events   []Event
 	Bytes    []int // sent, by node
 	Messages []int
 	Largest  int
 	nodes    []*node
 	byAddr   map[string]int
-	queue    queue
-	order    uint64
 	rand     *rand.Rand
 	cut      map[[2]int]bool
 }
 
 // New gives a world whose nodes start together, each of which knows the first three addresses.
 func New(o Options) *World {
-	w := &World{Options: o, Now: 1000, rand: rand.New(rand.NewPCG(o.Seed, 77)), byAddr: map[string]int{},
+	w := &World{Options: o, Clock: virtual.Clock{Now: 1000}, rand: rand.New(rand.NewPCG(o.Seed, 77)), byAddr: map[string]int{},
 		cut: map[[2]int]bool{}}
 	if w.Period == 0 {
 		w.Period = 1
@@ -125,56 +99,38 @@
 	return i
 }
 
-func (w *World) push(it item) {
-	w.order++
-	it.order = w.order
-	heap.Push(&w.queue, it)
-}
-
 // schedule has a node's tick come when it is due.
 func (w *World) schedule(i int) {
 	if at := max(w.nodes[i].Next(), w.Now); at != w.nodes[i].tickAt && at < 1e300 {
 		w.nodes[i].tickAt = at
-		w.push(item{at: at, node: i, tick: true})
+		w.At(at, func() { w.tick(i, at) })
 	}
 }
 
-// At has something happen at a time.
-func (w *World) At(at float64, do func()) { w.push(item{at: at, do: do}) }
-
 // Run plays until a time.
 func (w *World) Run(until float64) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		it := heap.Pop(&w.queue).(item)
-		w.Now = max(w.Now, it.at)
-		if it.do != nil {
-			it.do()
-			continue
-		}
-		w.give(it)
+	for w.Step(until) {
+	}
+}
+
+// tick rings a node's timer, unless it was set anew since.
+func (w *World) tick(i int, at float64) {
+	if n := w.nodes[i]; !n.down && !n.stopped && at == n.tickAt {
+		w.carry(i, n.Tick(w.Now))
+		w.schedule(i)
 	}
-	w.Now = until
 }
 
-func (w *World) give(it item) {
-	n := w.nodes[it.node]
-	switch {
+// receive brings a message to a node.
+func (w *World) receive(i int, msg *wire.Message) {
+	switch n := w.nodes[i]; {
 	case n.down:
-		return
-	case n.stopped:
-		if !it.tick && len(n.held) < 200 { // what a socket's buffer holds
-			n.held = append(n.held, it)
-		}
-		return
-	case it.tick:
-		if it.at != n.tickAt { // set anew since
-			return
-		}
-		w.carry(it.node, n.Tick(w.Now))
-	default:
-		w.carry(it.node, n.Receive(w.Now, it.msg))
+	case !n.stopped:
+		w.carry(i, n.Receive(w.Now, msg))
+		w.schedule(i)
+	case len(n.held) < 200: // what a socket's buffer holds
+		n.held = append(n.held, msg)
 	}
-	w.schedule(it.node)
 }
 
 // carry carries out what a core asks for.
@@ -205,7 +161,7 @@
 		copies = 2
 	}
 	for range copies {
-		w.push(item{at: w.Now + w.Delay*(0.5+w.rand.Float64()), node: to, msg: msg})
+		w.After(w.Delay*(0.5+w.rand.Float64()), func() { w.receive(to, msg) })
 	}
 }
 
@@ -234,8 +190,8 @@
 	held := n.held
 	n.held = nil
 	w.carry(i, n.Tick(w.Now))
-	for _, it := range held {
-		w.carry(i, n.Receive(w.Now, it.msg))
+	for _, msg := range held {
+		w.carry(i, n.Receive(w.Now, msg))
 	}
 	w.schedule(i)
 }
@@ -247,7 +203,7 @@
 }
 
 // Inject delivers a message to a node as it is.
-func (w *World) Inject(to int, msg *wire.Message) { w.push(item{at: w.Now, node: to, msg: msg}) }
+func (w *World) Inject(to int, msg *wire.Message) { w.After(0, func() { w.receive(to, msg) }) }
 
 // Node gives a node's core.
 func (w *World) Node(i int) *membership.Members { return w.nodes[i].Members }
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -32,7 +32,7 @@
 }
 
 func (r *rules) broken(rule, format string, args ...any) {
-	r.breaks = append(r.breaks, Break{Rule: rule, What: fmt.Sprintf(format, args...), At: r.w.now, Step: r.w.steps,
+	r.breaks = append(r.breaks, Break{Rule: rule, What: fmt.Sprintf(format, args...), At: r.w.Now, Step: r.w.Steps,
 		Last: r.w.lately()})
 	r.w.trace("BROKEN %s: %s", rule, fmt.Sprintf(format, args...))
 }
@@ -67,19 +67,19 @@
 	if f.answers > 0 {
 		r.broken(OneAnswer, "flow %s was sent on after its answer", f.id)
 	}
-	if f.ranAt > 0 && f.effect == "referenced" && r.w.now > f.ranAt+r.w.script.Traffic[f.kind].Span {
+	if f.ranAt > 0 && f.effect == "referenced" && r.w.Now > f.ranAt+r.w.script.Traffic[f.kind].Span {
 		r.broken(NoTwice, "flow %s was sent to %s after the memory span", f.id, h.name)
 	}
-	if told, ok := n.out[h.name]; ok && r.w.now > told+r.w.script.Rules.Grace {
-		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it said that it is out", n.name, f.id, h.name, r.w.now-told)
+	if told, ok := n.out[h.name]; ok && r.w.Now > told+r.w.script.Rules.Grace {
+		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it said that it is out", n.name, f.id, h.name, r.w.Now-told)
 	}
 	if n.starts[h.name] == 1e3*since(r.w.base, h.since) {
 		h.aware++
 	} else {
 		h.unaware++
 	}
-	if told := r.countsAt(n, h); r.w.now > told+r.w.script.Rules.Grace+ruleSlack {
-		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it counts as told", n.name, f.id, h.name, r.w.now-told)
+	if told := r.countsAt(n, h); r.w.Now > told+r.w.script.Rules.Grace+ruleSlack {
+		r.broken(Drains, "%s sent flow %s to %s, %.3f s after it counts as told", n.name, f.id, h.name, r.w.Now-told)
 	}
 }
 
@@ -100,7 +100,7 @@
 		r.broken(NoTwice, "flow %s ran at %s and at %s", f.id, f.ranOn.name, h.name)
 	}
 	if f.ranAt == 0 {
-		f.ranAt, f.ranOn = r.w.now, h
+		f.ranAt, f.ranOn = r.w.Now, h
 	}
 }
 
@@ -111,7 +111,7 @@
 		r.w.trace("%s fell over, of %d connects %d from nodes that knew of its start", h.name, h.aware+h.unaware, h.aware)
 		return
 	}
-	r.broken(Cold, "%s fell over %.1f s after its start, asked for %.1f of %.1f cores", h.name, r.w.now-h.since, h.load+h.pending,
+	r.broken(Cold, "%s fell over %.1f s after its start, asked for %.1f of %.1f cores", h.name, r.w.Now-h.since, h.load+h.pending,
 		h.capacity*h.warmth())
 }
 
--- a/internal/emulator/station.go
+++ b/internal/emulator/station.go
@@ -60,9 +60,9 @@
 // giveLate makes the input when the core takes it: what a core closed meanwhile is answered otherwise.
 func (n *station) giveLate(make func() node.Input) {
 	core := n.core
-	n.freeAt = max(n.freeAt, n.w.now) + n.w.script.Fleet.CPU
+	n.freeAt = max(n.freeAt, n.w.Now) + n.w.script.Fleet.CPU
 	n.cpu += n.w.script.Fleet.CPU
-	n.w.at(n.freeAt, func() {
+	n.w.At(n.freeAt, func() {
 		if !n.running || n.core != core {
 			return
 		}
@@ -70,7 +70,7 @@
 		if l, ok := in.(node.Listed); ok {
 			n.learned(l.List)
 		}
-		for _, e := range n.core.Apply(n.w.base+n.w.now, in) {
+		for _, e := range n.core.Apply(n.w.base+n.w.Now, in) {
 			n.perform(e)
 		}
 	})
@@ -83,7 +83,7 @@
 		if h.Status == "SERVING" {
 			delete(n.told, h.Name)
 		} else if _, known := n.told[h.Name]; !known {
-			n.told[h.Name] = n.w.now
+			n.told[h.Name] = n.w.Now
 		}
 	}
 }
@@ -128,7 +128,7 @@
 	case node.Timer:
 		n.timer++
 		turn, core := n.timer, n.core
-		n.w.at(e.At-n.w.base, func() {
+		n.w.At(e.At-n.w.base, func() {
 			if turn == n.timer && core == n.core {
 				n.give(node.Tick{})
 			}
@@ -192,7 +192,7 @@
 	core := n.core
 	h := p.host
 	fail := func(after float64) {
-		n.w.after(after, func() {
+		n.w.After(after, func() {
 			if !n.running || core != n.core {
 				return
 			}
@@ -217,7 +217,7 @@
 		fail(e.Within)
 		return
 	}
-	n.w.after(took, func() {
+	n.w.After(took, func() {
 		switch {
 		case !n.running || core != n.core:
 		case !h.running || h.vanished:
--- a/internal/emulator/twin.go
+++ b/internal/emulator/twin.go
@@ -15,7 +15,7 @@
 
 // ask puts a question to a core as the second address does, and gives the answer that comes with its effects.
 func (n *station) ask(q node.Asked) (a node.Answer) {
-	for _, e := range n.core.Apply(n.w.base+n.w.now, q) {
+	for _, e := range n.core.Apply(n.w.base+n.w.Now, q) {
 		if got, ok := e.(node.Answer); ok {
 			a = got
 			continue
@@ -37,7 +37,7 @@
 			continue
 		}
 		if _, was := n.out[h.name]; out && !was {
-			n.out[h.name] = w.now
+			n.out[h.name] = w.Now
 		} else if !out {
 			delete(n.out, h.name)
 		}
@@ -62,13 +62,13 @@
 		return
 	}
 	w.byHand(h, true)
-	w.after(lasts/2, func() {
+	w.After(lasts/2, func() {
 		if h.state == serving && h.running {
 			h.crash()
 			w.revive(h)
 		}
 	})
-	w.after(lasts, func() { w.byHand(h, false) })
+	w.After(lasts, func() { w.byHand(h, false) })
 }
 
 // crossed is what becomes of something that goes from one process to the other.
@@ -89,22 +89,22 @@
 	if !old.running || old.vanished || old.leaving || old.elder != nil || old.heir != nil {
 		return // one upgrade at a time
 	}
-	r, d, err := rundown.Read(w.settings, fork(w.seed, old.name+" anew", int(w.now*1e3)).Uint64())
+	r, d, err := rundown.Read(w.settings, fork(w.seed, old.name+" anew", int(w.Now*1e3)).Uint64())
 	if err != nil {
 		panic(err) // the settings are made here
 	}
-	heir := &station{machine: newMachine(old.name, old.zone), w: w, index: old.index, last: old.last, freeAt: w.now, running: true,
-		conns: map[node.Conn]*port{}, told: maps.Clone(old.told), out: maps.Clone(old.out), starts: maps.Clone(old.starts), elder: old, hearing: hearing{bootAt: w.now, calledAt: w.now, numbered: old.hearing.numbered},
+	heir := &station{machine: newMachine(old.name, old.zone), w: w, index: old.index, last: old.last, freeAt: w.Now, running: true,
+		conns: map[node.Conn]*port{}, told: maps.Clone(old.told), out: maps.Clone(old.out), starts: maps.Clone(old.starts), elder: old, hearing: hearing{bootAt: w.Now, calledAt: w.Now, numbered: old.hearing.numbered},
 		adopted: map[node.Conn]*port{}}
 	left := crossed(old.ask(node.Asked{What: node.Claim}).Legacy)
 	old.heir = heir
-	heir.core = node.New(w.base+w.now, node.Start{Rundown: r, Door: d, Sockets: w.script.Fleet.Sockets, Shut: true, Left: left})
+	heir.core = node.New(w.base+w.Now, node.Start{Rundown: r, Door: d, Sockets: w.script.Fleet.Sockets, Shut: true, Left: left})
 	if w.options.Wrong != nil {
 		heir.core = w.options.Wrong(heir.core)
 	}
 	w.trace("%s: a new process", old.name)
 	heir.give(node.Tick{})
-	w.after(lastCall+1, func() {
+	w.After(lastCall+1, func() {
 		switch {
 		case heir.given && old.running: // it holds some connections to the end
 			old.stop()
@@ -122,7 +122,7 @@
 	if old == nil || !old.running { // killed meanwhile: its next process has the door
 		return
 	}
-	n.w.after(handDelay, func() {
+	n.w.After(handDelay, func() {
 		if !old.running || !n.running {
 			return
 		}
@@ -131,7 +131,7 @@
 		n.out = maps.Clone(old.out)
 		n.give(node.Inherited{Legacy: left})
 		n.give(node.Opened{})
-		n.w.after(handDelay, func() {
+		n.w.After(handDelay, func() {
 			if old.running && n.running {
 				old.leaving = true
 				old.give(leave)
@@ -179,7 +179,7 @@
 		if other == nil || !other.running {
 			continue
 		}
-		n.w.after(handDelay, func() {
+		n.w.After(handDelay, func() {
 			if other.running {
 				other.give(node.Told{News: news})
 			}
--- a/internal/emulator/wire.go
+++ b/internal/emulator/wire.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+
+	"gorseledge/internal/emulator/virtual"
+)
 
 // ending is how a side of a connection stopped sending.
 type ending uint8
@@ -40,7 +44,7 @@
 
 // network joins machines. Its figures are seconds and bytes a second.
 type network struct {
-	clock
+	virtual.Clock
 	chance    *rand.Rand
 	near, far float64 // one way within a zone, and between zones
 	jitter    float64 // share of the delay
@@ -70,14 +74,14 @@
 // arrive has something happen at the far end in its turn: never before what was sent earlier.
 func (s *socket) arrive(size int, run func(to *socket)) {
 	n := s.net
-	when := n.now + n.delay(s.on, s.peer.on)
+	when := n.Now + n.delay(s.on, s.peer.on)
 	if n.bandwidth > 0 {
 		when = max(when, s.lastAt) + float64(size)/n.bandwidth
 	}
 	s.lastAt = max(when, s.lastAt)
 	to := s.peer
 	s.queue = append(s.queue, run)
-	n.at(s.lastAt, func() {
+	n.At(s.lastAt, func() {
 		run := s.queue[0]
 		s.queue = s.queue[1:]
 		if to.closed || s.on.vanished || to.on.vanished {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -1,3 +1,5 @@
+// Package emulator plays whole fleets on a virtual clock: real node cores with stand-in clients, hosts,
+// discovery, front and session store, all from one seed. It imitates no platform; its figures are simulated.
 package emulator
 
 import (
@@ -88,7 +90,7 @@
 	}
 	w := newWorld(s, seed, o)
 	end := s.Lasts + s.Settle
-	for w.step(end) {
+	for w.Step(end) {
 	}
 	for _, c := range w.clients { // all go, and nothing may be left of them
 		c.gone = true
@@ -96,7 +98,7 @@
 			c.quit(false)
 		}
 	}
-	for w.step(end + lastWait) {
+	for w.Step(end + lastWait) {
 	}
 	for _, n := range w.nodes {
 		w.rules.left(n)
@@ -111,7 +113,7 @@
 		jitter: s.Network.Jitter, bandwidth: s.Network.Bandwidth, pieces: s.Network.Pieces}
 	w.network = w.net
 	if o.Permute {
-		w.permute = fork(seed, "order", 0)
+		w.Permute = fork(seed, "order", 0)
 	}
 	w.result = &Result{Scenario: s.Name, Seed: seed, setups: hdrhistogram.New(1, 1e9, 3)}
 	w.rules, w.store = &rules{w: w}, &store{w: w, bears: s.Fleet.Store}
@@ -129,7 +131,7 @@
 		w.arrivals(k, t, fork(seed, t.Name, k))
 	}
 	for _, f := range append(slices.Clone(s.Faults), w.drawn()...) {
-		w.at(f.At, func() { w.befall(f) })
+		w.At(f.At, func() { w.befall(f) })
 	}
 	w.beat()
 	return w
@@ -155,7 +157,7 @@
 
 // boot starts a node's process anew, with the list as it stands at discovery.
 func (w *World) boot(n *station) {
-	r, d, err := rundown.Read(w.settings, fork(w.seed, n.name, int(w.now*1e3)).Uint64())
+	r, d, err := rundown.Read(w.settings, fork(w.seed, n.name, int(w.Now*1e3)).Uint64())
 	if err != nil {
 		panic(err) // the settings are made here
 	}
@@ -165,11 +167,11 @@
 	n.running, n.vanished, n.conns, n.told = true, false, map[node.Conn]*port{}, map[string]float64{}
 	n.starts = map[string]float64{}
 	n.leaving, n.given, n.elder, n.heir = false, false, nil, nil
-	n.hearing = hearing{bootAt: w.now, calledAt: w.now, numbered: w.discovery.moved}
+	n.hearing = hearing{bootAt: w.Now, calledAt: w.Now, numbered: w.discovery.moved}
 	n.out = map[string]float64{} // a process that starts by itself knows of none
-	n.last, n.watch, n.timer, n.freeAt = n.last|1, n.watch+1, n.timer+1, w.now
+	n.last, n.watch, n.timer, n.freeAt = n.last|1, n.watch+1, n.timer+1, w.Now
 	known := w.discovery.whole()
-	n.core = node.New(w.base+w.now, node.Start{Rundown: r, Door: d, Known: known, Sockets: w.script.Fleet.Sockets})
+	n.core = node.New(w.base+w.Now, node.Start{Rundown: r, Door: d, Known: known, Sockets: w.script.Fleet.Sockets})
 	if w.options.Wrong != nil {
 		n.core = w.options.Wrong(n.core)
 	}
@@ -221,8 +223,8 @@
 	if t.Rate <= 0 {
 		return
 	}
-	w.after(chance.ExpFloat64()/t.Rate, func() {
-		if w.now > w.script.Lasts {
+	w.After(chance.ExpFloat64()/t.Rate, func() {
+		if w.Now > w.script.Lasts {
 			return
 		}
 		i := len(w.clients)
@@ -263,13 +265,13 @@
 	for _, h := range w.hosts {
 		h.beat()
 	}
-	if w.now < w.script.Lasts+w.script.Settle+lastWait {
-		w.after(0.1, w.beat)
+	if w.Now < w.script.Lasts+w.script.Settle+lastWait {
+		w.After(0.1, w.beat)
 	}
 }
 
 func (w *World) trace(format string, args ...any) {
-	text := fmt.Sprintf("%.6f ", w.now) + fmt.Sprintf(format, args...)
+	text := fmt.Sprintf("%.6f ", w.Now) + fmt.Sprintf(format, args...)
 	w.hash.Write([]byte(text))
 	if w.last = append(w.last, text); len(w.last) > 2*keptLines {
 		w.last = append(w.last[:0], w.last[keptLines:]...)
@@ -303,7 +305,7 @@
 	for _, n := range w.nodes {
 		r.CPU += n.cpu
 	}
-	r.StorePeak, r.StoreRefused, r.Steps, r.Breaks, r.Trace = w.store.peak, w.store.refused, w.steps, w.rules.breaks, w.hash.Sum64()
+	r.StorePeak, r.StoreRefused, r.Steps, r.Breaks, r.Trace = w.store.peak, w.store.refused, w.Steps, w.rules.breaks, w.hash.Sum64()
 	return r
 }
 
@@ -311,3 +313,10 @@
 func bySerial(all []*socket) {
 	slices.SortFunc(all, func(a, b *socket) int { return int(math.Copysign(1, float64(a.serial)-float64(b.serial))) })
 }
+
+// fork gives a stream of chance of its own, so that one actor's draws do not shift another's.
+func fork(seed uint64, actor string, n int) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(actor))
+	return rand.New(rand.NewPCG(seed, h.Sum64()+uint64(n)))
+}
