Settings: an unknown effect or a figure below nothing is refused by key, exit 2; a node's number is theirs

Tests that took an odd effect for once-only and negative figures for nothing are replaced by the refusal.

--- a/cmd/gorseledge/main.go
+++ b/cmd/gorseledge/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
 
+	"gorseledge/internal/rundown"
 	"gorseledge/internal/sockets"
 )
 
@@ -51,7 +53,7 @@
 	top.AddCommand(&cobra.Command{Use: "check FILE", Short: "Check a config and the fleet file that it names, and start nothing",
 		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
 			if err := sockets.Check(args[0]); err != nil {
-				*code = 1
+				*code = exitOf(err)
 				fmt.Fprintln(cmd.ErrOrStderr(), "gorseledge:", err)
 				return nil
 			}
@@ -61,6 +63,14 @@
 	return top
 }
 
+// exitOf gives the exit code of a program that could not start or go on: 2 for settings that cannot be taken.
+func exitOf(err error) int {
+	if wrong := (*rundown.Wrong)(nil); errors.As(err, &wrong) {
+		return 2
+	}
+	return 1
+}
+
 func run(path string) int {
 	// Before all else: a signal that nothing waits for ends the program.
 	leave, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
@@ -80,7 +90,7 @@
 	asked := sockets.Signals{Leave: leave, Reload: reload}
 	if err := sockets.Run(context.Background(), config, log, asked); err != nil {
 		log.Error().Err(err).Msg("failed")
-		return 1
+		return exitOf(err)
 	}
 	log.Info().Msg("left")
 	return 0
--- a/cmd/gorseledge/main_test.go
+++ b/cmd/gorseledge/main_test.go
@@ -588,10 +588,31 @@
 	}
 }
 
+// What a start refuses is one line of the log and an exit code, with no door opened: 2 for the settings, whose key it
+// names, as check FILE does; 1 for the rest of the config.
 func TestNoConfig(t *testing.T) {
+	const good = `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":`
+	for _, c := range []struct{ key, settings string }{
+		{"settings", `7}`},
+		{"settings.limits.max_connects", `{"limits":{"max_connects":-1}}}`},
+		{"settings.service_types[0].effect", `{"service_types":[{"name":"chat","effect":"odd"}]}}`},
+		{"settings.service_types", `{"service_types":{}}}`},
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		os.WriteFile(path, []byte(good+c.settings), 0o600)
+		started, checked := exec.Command(program), exec.Command(program, "check", path)
+		started.Env = []string{"LB_CONFIG=" + path}
+		for _, node := range []*exec.Cmd{started, checked} {
+			out, err := node.CombinedOutput()
+			var exit *exec.ExitError
+			if !errors.As(err, &exit) || exit.ExitCode() != 2 || bytes.Count(out, []byte("\n")) != 1 ||
+				!bytes.Contains(out, []byte(c.key+": ")) || bytes.Contains(out, []byte("started")) {
+				t.Errorf("%s: %v, %s", c.key, err, out)
+			}
+		}
+	}
 	for name, text := range map[string]string{"no file": "", "no JSON": "{{", "no address": "{}",
-		"settings that are no object": `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":7}`,
-		"peers":                       `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{},"peers":["127.0.0.1:9"]}`} {
+		"peers": `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{},"peers":["127.0.0.1:9"]}`} {
 		path := filepath.Join(t.TempDir(), "config.json")
 		if text != "" {
 			os.WriteFile(path, []byte(text), 0o600)
--- a/internal/lbwire/link.go
+++ b/internal/lbwire/link.go
@@ -214,7 +214,9 @@
 		if err != nil {
 			return err
 		}
-		r.Self = int(no)
+		if r.Self < 0 {
+			r.Self = int(no)
+		}
 		l.nodes[no] = &instance{b: placement.New(r), fields: door.Fields, flows: map[uint32]int{},
 			servers: map[uint32]int{}}
 		l.order = append(l.order, no)
--- a/internal/rundown/rundown.go
+++ b/internal/rundown/rundown.go
@@ -68,6 +68,7 @@
 		SetupTarget float64 `json:"setup_target_us"`
 	} `json:"service_types"`
 	Siblings float64  `json:"siblings"`
+	Me       *float64 `json:"me"`
 	Zones    []string `json:"zones"`
 }
 
@@ -79,11 +80,24 @@
 
 const micro = 1e-6
 
-// Read turns the settings of a start into the module's rundown and the door's.
+// Wrong tells what of the settings cannot be taken, by its key.
+type Wrong struct{ Key, Why string }
+
+func (w *Wrong) Error() string { return w.Key + ": " + w.Why }
+
+// Read turns the settings of a start into the module's rundown and the door's; what cannot be taken is a *Wrong. A key
+// that is not known or missing is none.
 func Read(text []byte, seed uint64) (placement.Rundown, Door, error) {
 	var s start
 	if err := json.Unmarshal(text, &s); err != nil {
-		return placement.Rundown{}, Door{}, fmt.Errorf("settings: %w", err)
+		key := "settings"
+		if kind := (*json.UnmarshalTypeError)(nil); errors.As(err, &kind) && kind.Field != "" {
+			key += "." + kind.Field
+		}
+		return placement.Rundown{}, Door{}, &Wrong{key, err.Error()}
+	}
+	if wrong := s.check(); wrong != nil {
+		return placement.Rundown{}, Door{}, wrong
 	}
 	r := placement.Rundown{
 		Seed: seed, Nodes: whole(s.Siblings), Tick: span(s.Tick),
@@ -94,6 +108,10 @@
 		Reports: s.Reporting.Source == "on_probe",
 		Peers:   s.Limits.Peers,
 		Quotas:  s.Family.Quotas,
+		Self:    -1, // not told
+	}
+	if s.Me != nil {
+		r.Self = whole(*s.Me)
 	}
 	if s.Limits.RetryAfter {
 		r.RetryAdvice = span(s.Limits.MaxRetryAfter)
@@ -117,11 +135,48 @@
 	return r, d, nil
 }
 
+// check gives the first figure below nothing, or the first effect that there is none of. Guards against a figure that
+// is taken for nothing, and an effect for one that it is not.
+func (s *start) check() *Wrong {
+	type figure struct {
+		key string
+		x   float64
+	}
+	figures := []figure{{"granularity_us", s.Tick}, {"siblings", s.Siblings},
+		{"invariants.ask_within_us", s.Invariants.AskWithin}, {"invariants.cold_from", s.Invariants.ColdFrom},
+		{"invariants.cold_us", s.Invariants.ColdFor}, {"invariants.fall_multiple", s.Invariants.FallMultiple},
+		{"invariants.fall_us", s.Invariants.FallFor}, {"limits.dial_timeout_us", s.Limits.DialTimeout},
+		{"limits.max_connects", s.Limits.MaxConnects}, {"limits.max_retry_after_us", s.Limits.MaxRetryAfter}}
+	if s.Me != nil {
+		figures = append(figures, figure{"me", *s.Me})
+	}
+	for i, aim := range s.Family.MessageAim {
+		figures = append(figures, figure{fmt.Sprintf("family_info.message_aim_us[%d]", i), aim})
+	}
+	for i, quota := range s.Family.Quotas {
+		figures = append(figures, figure{fmt.Sprintf("family_info.tenant_quota_connections[%d]", i), quota})
+	}
+	for i, t := range s.Types {
+		at := fmt.Sprintf("service_types[%d].", i)
+		if _, known := effects[t.Effect]; !known && t.Effect != "" {
+			return &Wrong{"settings." + at + "effect", fmt.Sprintf("%q is none of repeatable, by_key, once", t.Effect)}
+		}
+		figures = append(figures, figure{at + "give_up_us", t.GiveUp}, figure{at + "memory_span_us", t.MemorySpan},
+			figure{at + "setup_target_us", t.SetupTarget})
+	}
+	for _, f := range figures {
+		if f.x < 0 {
+			return &Wrong{"settings." + f.key, fmt.Sprintf("%v is below nothing", f.x)}
+		}
+	}
+	return nil
+}
+
 // Check tells of settings that no deployment can have together, by the key at fault: the node of one is not to
 // start on half of another's.
 func Check(r placement.Rundown) error {
 	if r.Reports && !r.Probes {
-		return errors.New("settings.reporting.source: reports come on probes, and settings.limits.probes allows none")
+		return &Wrong{"settings.reporting.source", "reports come on probes, and settings.limits.probes allows none"}
 	}
 	return nil
 }
--- a/internal/sockets/config.go
+++ b/internal/sockets/config.go
@@ -143,7 +143,7 @@
 	return nil
 }
 
-// numberOf gives a node's number among its siblings: the one that its name ends with, as platforms number their nodes,
+// numberOf gives a node's number among its siblings where the settings do not tell it: the one that its name ends with, as platforms number their nodes,
 // or else what a hash of the name gives, under which two may have one.
 func numberOf(name string) int {
 	digits := name[len(strings.TrimRight(name, "0123456789")):]
@@ -165,7 +165,9 @@
 	if err != nil {
 		return node.Start{}, err
 	}
-	r.Self = numberOf(c.Name)
+	if r.Self < 0 {
+		r.Self = numberOf(c.Name)
+	}
 	r.Peers = c.PeerAddr != "" || r.Peers && c.Fleet != "" // members are told where no peers are named
 	known, err := roster.Read(c.Known)
 	if err != nil {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -292,7 +292,7 @@
 			worst = max(worst, (sent+last-budget)/(2*math.Sqrt(budget)+2))
 			least, last = min(least, sent-parts), sent
 		}
-		if fires := worst > 1 || stray > 3; fires != c.strays || !c.joins && !c.strays && least < -3 {
+		if fires := worst > 1 || stray > 2; fires != c.strays || !c.joins && !c.strays && least < -3 {
 			t.Errorf("%s: %.1f to %.1f beside the parts, %.2f of what is put down to chance", c.name, least, stray, worst)
 		}
 	}
