--- a/cmd/gorseledge/main_test.go
+++ b/cmd/gorseledge/main_test.go
@@ -483,7 +483,7 @@
 			Address: "h:1", Status: "DRAINING"}}})
 		s.logged(fmt.Sprintf("base list of %d servers", round+4))
 		select {
-		case <-old.Left():
+		case <-old.Left:
 		case <-time.After(patience):
 			t.Fatal("the old place is still watched")
 		}
--- a/internal/rig/standin/standin.go
+++ b/internal/rig/standin/standin.go
@@ -105,6 +105,7 @@
 
 // Discovery tells lists to whoever watches: the last whole one and what changed since, then what comes.
 type Discovery struct {
+	Left   <-chan bool // brings a word for each watch that was given up
 	server *httptest.Server
 	mu     sync.Mutex
 	said   [][]byte // a list each
@@ -115,7 +116,8 @@
 
 // StartDiscovery starts it; nothing is told yet.
 func StartDiscovery() *Discovery {
-	d := &Discovery{more: make(chan struct{}), left: make(chan bool, 16)}
+	left := make(chan bool, 16)
+	d := &Discovery{Left: left, more: make(chan struct{}), left: left}
 	d.server = httptest.NewServer(http.HandlerFunc(d.watch))
 	return d
 }
@@ -123,9 +125,6 @@
 // Address is where nodes reach it.
 func (d *Discovery) Address() string { return d.server.Listener.Addr().String() }
 
-// Left brings a word for each watch that was given up.
-func (d *Discovery) Left() <-chan bool { return d.left }
-
 // Tell tells a list.
 func (d *Discovery) Tell(list roster.List) {
 	text, err := json.Marshal(list)
