--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -36,25 +36,29 @@
 		DisableKeepAlives: true, DisableCompression: true}}}
 }
 
-// speech tells of what is read from a watch that it is alive: a long list may come in many pieces.
+// speech tells of what is read from a watch that it is alive, and whether that ended in the middle of a line: a long
+// list may come in many pieces.
 type speech struct {
 	io.Reader
-	alive func()
+	alive func(within bool)
 	told  time.Time
+	was   bool
 }
 
 func (s *speech) Read(p []byte) (int, error) {
 	n, err := s.Reader.Read(p)
-	if n > 0 && time.Since(s.told) >= often {
-		s.told = time.Now()
-		s.alive()
+	if n > 0 {
+		if within := p[n-1] != '\n'; within != s.was || time.Since(s.told) >= often {
+			s.told, s.was = time.Now(), within
+			s.alive(within)
+		}
 	}
 	return n, err
 }
 
 // Watch hands on each list that is told after index, until the watch ends or ctx is done; the error says why. It
-// calls alive when its answer begins and whenever some of it comes.
-func (c *Client) Watch(ctx context.Context, index int64, alive func(), told func(roster.List)) error {
+// calls alive when its answer begins and whenever some of it comes, with true in the middle of a line.
+func (c *Client) Watch(ctx context.Context, index int64, alive func(within bool), told func(roster.List)) error {
 	url := fmt.Sprintf("http://%s/discovery/hosts?stream=1&index=%d", c.address, index)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -68,7 +72,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", res.StatusCode)
 	}
-	alive()
+	alive(false)
 	lines := bufio.NewScanner(&speech{Reader: res.Body, alive: alive})
 	lines.Buffer(make([]byte, 0, 4096), longest)
 	for lines.Scan() {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -84,7 +84,7 @@
 					c.handle(w, r)
 				})
 				told, began, signs := "", time.Now(), 0
-				err := client.Watch(t.Context(), 40, func() { signs++ }, func(l roster.List) {
+				err := client.Watch(t.Context(), 40, func(bool) { signs++ }, func(l roster.List) {
 					told += fmt.Sprint(l.Index, " ", l.Whole, " ")
 					for _, h := range l.Hosts {
 						told += h.Name + " " + h.Status + ", "
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -50,8 +50,9 @@
 	Closed struct{ Conn Conn }
 	// Listed is what discovery told.
 	Listed struct{ List roster.List }
-	// Spoke is a sign of life of the watch: its answer has begun, or some of it came, if only an empty line.
-	Spoke struct{}
+	// Spoke is a sign of life of the watch: its answer has begun, or some of it came, if only an empty line; Within a
+	// line, if that has not ended yet.
+	Spoke struct{ Within bool }
 	// Unlisted says that the watch has failed or ended.
 	Unlisted struct{ Why string }
 	// Relocated says that discovery is at another address now, and the old one about to go.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -37,7 +37,7 @@
 
 func (n *Node) listed(l roster.List) {
 	n.heard, n.misses = true, 0
-	n.watch.spoke(n.now)
+	n.watch.spoke(n.now, false)
 	kind := placement.ListChanges
 	if l.Whole {
 		kind = placement.ListFull
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,7 +202,7 @@
 	case Listed:
 		n.listed(in.List)
 	case Spoke:
-		n.watch.spoke(n.now)
+		n.watch.spoke(n.now, in.Within)
 	case Unlisted:
 		n.unlisted(placement.ListFailed, in.Why)
 	case Relocated:
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -33,6 +33,7 @@
 	state watchState
 	word  float64 // when it was asked for last, or last said anything
 	fresh float64 // when a watch last said anything, or this process began
+	line  float64 // since when a line has been coming that has not ended; 0 for none
 	alone bool    // the machine's own agent answers, which has no others to serve first
 }
 
@@ -42,14 +43,22 @@
 	case opening:
 		return w.word + answerWait
 	case speaking:
+		if w.line > 0 { // guards against one that never ends, a byte at a time
+			return min(w.word+quiet, w.line+answerWait)
+		}
 		return w.word + quiet
 	}
 	return math.Inf(1)
 }
 
-// spoke takes a sign of life of the watch.
-func (w *watch) spoke(now float64) {
-	w.fresh = now
+// spoke takes a sign of life of the watch, within a line or at its end.
+func (w *watch) spoke(now float64, within bool) {
+	switch {
+	case !within:
+		w.fresh, w.line = now, 0
+	case w.line == 0:
+		w.line = now
+	}
 	if w.state != unwatched {
 		w.state, w.word = speaking, now
 	}
@@ -60,7 +69,7 @@
 // breaking off the watch that is there already.
 func (n *Node) follow() {
 	if n.watch.state == unwatched {
-		n.watch.state, n.watch.word = opening, n.now
+		n.watch.state, n.watch.word, n.watch.line = opening, n.now, 0
 		n.ask(Watch{Index: n.index})
 	}
 }
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -98,6 +98,21 @@
 	}
 }
 
+// A line that comes a byte at a time and never ends is given up like a call that is not answered, one that ends is not.
+// Guards against a list that gets old behind a watch which seems alive.
+func TestEndlessLine(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		w := newWorld(t, "proxy", 3, 100)
+		for i := range 60 {
+			w.pass(0.2)
+			w.do(Spoke{Within: !ends || i%15 != 14}) // a line of three seconds, or one without an end
+		}
+		if given := w.unwatches > 0; given == ends {
+			t.Errorf("a line that ends %v: %d watches given up", ends, w.unwatches)
+		}
+	}
+}
+
 // What a watch still says that was given up counts, and one that speaks every two seconds is never given up.
 func TestLateWord(t *testing.T) {
 	w := newWorld(t, "proxy", 3, 100)
--- a/internal/rig/standin/standin.go
+++ b/internal/rig/standin/standin.go
@@ -105,19 +105,21 @@
 
 // Discovery tells lists to whoever watches: the last whole one and what changed since, then what comes.
 type Discovery struct {
-	Left   <-chan bool // brings a word for each watch that was given up
+	Asked  <-chan bool // brings a word for each call
+	Left   <-chan bool // and one for each watch that was given up
 	server *httptest.Server
 	mu     sync.Mutex
 	said   [][]byte // a list each
 	whole  int      // where the last whole one stands
 	more   chan struct{}
+	asked  chan bool
 	left   chan bool
 }
 
 // StartDiscovery starts it; nothing is told yet.
 func StartDiscovery() *Discovery {
-	left := make(chan bool, 16)
-	d := &Discovery{Left: left, more: make(chan struct{}), left: left}
+	asked, left := make(chan bool, 16), make(chan bool, 16)
+	d := &Discovery{Asked: asked, Left: left, more: make(chan struct{}), asked: asked, left: left}
 	d.server = httptest.NewServer(http.HandlerFunc(d.watch))
 	return d
 }
@@ -142,6 +144,10 @@
 }
 
 func (d *Discovery) watch(w http.ResponseWriter, r *http.Request) {
+	select {
+	case d.asked <- true:
+	default:
+	}
 	d.mu.Lock()
 	next := d.whole
 	d.mu.Unlock()
--- a/internal/sockets/silence_test.go
+++ b/internal/sockets/silence_test.go
@@ -212,10 +212,10 @@
 		t.Errorf("one of two calls failed: %v, %d left", in, len(d.calls))
 	}
 	b = begin()
-	if in := d.arrived(spoke{b.ctx}); in != (node.Spoke{}) || len(d.calls) != 1 || a.ctx.Err() == nil {
+	if in := d.arrived(spoke{b.ctx, false}); in != (node.Spoke{}) || len(d.calls) != 1 || a.ctx.Err() == nil {
 		t.Errorf("the second of two spoke: %v, %d left", in, len(d.calls))
 	}
-	for _, late := range []any{spoke{a.ctx}, listed{a.ctx, roster.List{Index: 1}}, unwatched{a.ctx, "reset"}} {
+	for _, late := range []any{spoke{a.ctx, false}, listed{a.ctx, roster.List{Index: 1}}, unwatched{a.ctx, "reset"}} {
 		if in := d.arrived(late); in != nil {
 			t.Errorf("a call that was outpaced: %v", in)
 		}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -50,7 +50,10 @@
 		socket *net.TCPConn
 		err    error
 	}
-	spoke  struct{ watch context.Context }
+	spoke struct {
+		watch  context.Context
+		within bool // a line that has not ended
+	}
 	listed struct {
 		watch context.Context
 		list  roster.List
@@ -455,7 +458,7 @@
 			}
 			return c.ctx != what.watch
 		})
-		return node.Spoke{}
+		return node.Spoke{Within: what.within}
 	case listed:
 		// What a watch said before it was given up as silent counts. Guards against an older list after the newer one
 		// of the call beside it.
@@ -595,7 +598,7 @@
 	d.calls = append(d.calls, call{ctx, end})
 	client := d.roster
 	d.group.Go(func() error {
-		err := client.Watch(ctx, e.Index, func() { d.send(spoke{ctx}) },
+		err := client.Watch(ctx, e.Index, func(within bool) { d.send(spoke{ctx, within}) },
 			func(l roster.List) { d.send(listed{ctx, l}) })
 		if ctx.Err() == nil {
 			d.send(unwatched{ctx, err.Error()})
