--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -22,7 +22,8 @@
 	ranAt    float64 // of the first time it ran, 0 for none
 	ranOn    *host
 	runs     int
-	out      int // connects out now
+	out      int     // connects out now
+	leftAt   float64 // when its client left without an answer; 0 for not
 	rejected bool
 }
 
@@ -87,6 +88,15 @@
 	mine.send(fmt.Appendf(nil, "OPEN %s %016x c=%s,t=all,d=%d,g=%x%s\r\n", f.id, c.key, c.t.Name,
 		int(c.t.Timeout*1e3), c.group, again))
 	w.net.After(w.net.delay(c.machine, to.machine), func() { to.accept(theirs, f) })
+	if w.impatient > 0 && c.chance.Float64() < w.impatient {
+		w.After(c.chance.Float64()*min(c.t.Timeout, 4*c.t.Target), func() {
+			if c.turn == turn && !c.up && f.answers == 0 {
+				c.quit(c.chance.Float64() < 0.5)
+				f.leftAt = w.Now
+				c.again(c.t.Backoff)
+			}
+		})
+	}
 	w.After(c.t.Timeout, func() {
 		if c.turn == turn && !c.up && f.answers == 0 {
 			w.result.Unanswered++
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -206,6 +206,9 @@
 			return &double{c, map[node.Conn]string{}, map[node.Conn][]byte{}}
 		}, nil},
 		{"cold hosts taken for warm", Cold, hot, nil, func(r *placement.Rundown) { r.ColdFor = 0 }},
+		{"a client's going is not seen", Gone, "[[fault]]\nat = 5\nkind = \"leave\"\nby = 1\nfor = 15\n" +
+			"[[fault]]\nat = 5\nkind = \"errs\"\nhost = 1\nby = 1\nfor = 15\n[[fault]]\nat = 5\nkind = \"stall\"\nhost = 2\nfor = 15\n",
+			func(c Core) Core { return &clingy{c} }, nil},
 		{"something is held to the end", Leftovers, "", func(c Core) Core { return &hoarder{c} }, nil},
 	} {
 		s := script(t, calm+c.faults)
@@ -227,6 +230,16 @@
 	}
 }
 
+// clingy does not see that a client has gone.
+type clingy struct{ Core }
+
+func (c *clingy) Apply(now float64, in node.Input) []node.Effect {
+	if got, ok := in.(node.Got); ok && got.Conn%2 == 1 && got.End != node.Open {
+		return nil
+	}
+	return c.Core.Apply(now, in)
+}
+
 // deaf takes what drains for what serves.
 type deaf struct{ Core }
 
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -50,6 +50,9 @@
 	case "dial_late":
 		w.net.late += f.By
 		w.After(f.For, func() { w.net.late -= f.By })
+	case "leave":
+		w.impatient = min(f.By, 1)
+		w.After(f.For, func() { w.impatient = 0 })
 	case "drop":
 		for _, c := range w.clients {
 			if c.up && w.chance.Float64() < f.By {
@@ -172,7 +175,8 @@
 // drawn gives the faults that the seed adds to the script.
 func (w *World) drawn() (out []Fault) {
 	chance := fork(w.seed, "faults", 0)
-	names := Kinds()
+	// Seeds from before clients left draw the same faults beside.
+	names := slices.DeleteFunc(Kinds(), func(kind string) bool { return kind == "leave" })
 	f := w.script.Fleet
 	for range w.script.Drawn {
 		x := Fault{At: chance.Float64() * w.script.Lasts, Kind: names[chance.IntN(len(names))], For: 1 + 9*chance.Float64(),
@@ -194,6 +198,9 @@
 			out = append(out, x)
 		}
 	}
+	if w.script.Drawn > 0 {
+		out = append(out, Fault{At: chance.Float64() * w.script.Lasts, Kind: "leave", By: chance.Float64(), For: 1 + 9*chance.Float64()})
+	}
 	return out
 }
 
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -15,6 +15,8 @@
 	return fmt.Sprintf("%s at %.6f s, step %d: %s", b.Rule, b.At, b.Step, b.What)
 }
 
+const leaveSeen = 0.1 // s after a client has left, from which on no attempt may begin for it
+
 // The rules, by name.
 const (
 	OneAnswer = "one answer"
@@ -23,6 +25,7 @@
 	Drains    = "nothing new to who drains"
 	Cold      = "no cold host pushed over"
 	Leftovers = "nothing left"
+	Gone      = "no attempt for who left"
 )
 
 // rules look at each step; they know the true state, which no node does.
@@ -61,6 +64,9 @@
 // sent is a first line that a node has written to a host.
 func (r *rules) sent(f *flow, n *station, h *host) {
 	r.w.trace("%s sends %s to %s", n.name, f.id, h.name)
+	if f.leftAt > 0 && r.w.Now > f.leftAt+leaveSeen {
+		r.broken(Gone, "flow %s was sent to %s, %.3f s after its client had left", f.id, h.name, r.w.Now-f.leftAt)
+	}
 	if f.out > 1 {
 		r.broken(OneOut, "flow %s has %d connects out", f.id, f.out)
 	}
--- a/internal/emulator/script.go
+++ b/internal/emulator/script.go
@@ -104,6 +104,7 @@
 	"roster_reset":  {by: true},              // or end at once
 	"roster_move":   {lasts: true},           // nodes are sent to another discovery within that time; its index begins anew
 	"dial_late":     {lasts: true, by: true}, // connections to hosts come up so many seconds late
+	"leave":         {by: true, lasts: true}, // that share of the clients that come does not wait for an answer
 	"drop":          {by: true, lasts: true}, // that share of the clients, and back within that time
 	"slow":          {host: true, lasts: true, by: true},
 	"errs":          {host: true, lasts: true, by: true},
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -72,6 +72,7 @@
 	byID      map[string]*flow
 	flows     int
 	discovery *discovery
+	impatient float64 // share of the clients that come now and do not wait
 	store     *store
 	rules     *rules
 	result    *Result
