--- a/placement/placement.go
+++ b/placement/placement.go
@@ -648,7 +648,7 @@
 			next, draw = b.homeOf(f.home, after)
 		}
 	}
-	if f.back || float64(f.ca>>11)/(1<<53) < b.strain {
+	if f.back || b.chance() < b.strain {
 		// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
 		entry, full = next, min(full, math.Ceil(max(1, homeFactor*mean))-1)
 	}
