What is handed over mid-flow is looked for where clients that came back went: by their hash

Now the client's hash picks the home, and a connection handed over is looked for there, where nodes are blind.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -629,9 +629,8 @@
 // enter gives the place among the usable where a flow enters, the cap there, and past which draw of its
 // group's homes it goes on.
 func (b *Balancer) enter(f *flow, mid bool, mean float64) (entry int, full, after float64) {
-	m := len(b.usable)
 	if entry = slices.Index(b.usable, b.base[f.ca%uint64(len(b.base))]); entry < 0 {
-		entry = int(f.ca % uint64(m))
+		entry = int(f.ca % uint64(len(b.usable)))
 	}
 	full, after = max(spillFloor, spillFactor*mean), -1
 	if on := slices.Index(b.usable, f.on); mid && on >= 0 {
@@ -641,14 +640,15 @@
 		return entry, full, after
 	}
 	next, draw := b.homeOf(f.home, -1)
-	// What comes back had too much where it was: home, or the next two. Others go home as strain is seen.
-	if f.back && !mid && b.chance() < searchShare*b.blind {
-		for range 1 + int(2*b.chance()) {
-			after = draw
-			next, draw = b.homeOf(f.home, after)
-		}
-	}
-	if f.back || b.chance() < b.strain {
+	// What comes back had too much where it was: home, or the next two, by its client, so that one handed over
+	// mid-flow is looked for where it most likely went. Others go home as strain is seen.
+	further := float64(f.ca>>11) / (1 << 53) / (searchShare * b.blind)
+	search := (f.back || mid) && further < 1
+	for k := 0; search && k < 1+int(2*further); k++ {
+		after = draw
+		next, draw = b.homeOf(f.home, after)
+	}
+	if f.back || search || b.chance() < b.strain {
 		// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
 		entry, full = next, min(full, math.Ceil(max(1, homeFactor*mean))-1)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -347,6 +347,34 @@
 	}
 }
 
+// A client that comes back is placed at one of three homes by its key, and where its connection is handed over
+// mid-flow to another node, that one looks there: nodes that know nothing of each other agree. Guards against
+// connections that are reset since the node that looks for them draws anew where they might be (one in six was met).
+func TestHandedOverAfterBack(t *testing.T) {
+	const n, clients = 12, 600
+	met, at := 0, map[int]int{}
+	for i := range clients {
+		placed, looks := newRig(n, func(r *Rundown) { r.Nodes, r.Seed = 300, uint64(2*i) }), newRig(n, func(r *Rundown) {
+			r.Nodes, r.Seed = 300, uint64(2*i+1)
+		})
+		placed.blind, looks.blind, looks.strain = 0.93, 0.9, 1 // one has run for a while, the other has just begun
+		a := Arrival{Key: mix(uint64(i)), Group: 77}
+		a.Back = true
+		_, was := placed.arrive(1, a)
+		a.Back, a.MidFlow = false, true
+		if _, now := looks.arrive(1, a); now == was {
+			met++
+		}
+		at[was]++
+	}
+	if met < clients*9/10 {
+		t.Errorf("%d of %d were met", met, clients)
+	}
+	if len(at) < 3 { // what comes back does not all go where it had too much
+		t.Errorf("placed at %v", at)
+	}
+}
+
 // A hundred nodes with one connection each on a jammed server: each alone holds too little to be over any
 // ceiling, so none moved its own, and the jam stood for as long as its connections lived. Now a part of all
 // nodes moves theirs at each note, and more while it goes on, but never all at once.
