--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -287,6 +287,14 @@
 		{"ended after the last byte", text("", Ended), false, "ERR\r\n"},
 		{"half an answer", text("UP 9", Ended), false, "ERR\r\n"},
 		{"nothing", func(w *world, h Conn) { w.up(); w.pass(2) }, false, "ERR\r\n"},
+		{"a byte at a time that never ends", func(w *world, h Conn) {
+			w.up()
+			for range 25 {
+				if w.pass(0.1); w.reads[h] != nil {
+					w.say(h, "x", Open)
+				}
+			}
+		}, false, "ERR\r\n"},
 		{"nothing, and not even the line was taken", func(w *world, h Conn) {
 			w.stalled[h] = true
 			w.up()
@@ -902,6 +910,41 @@
 	}
 }
 
+// A client or a host that does not read is held up by its own buffers: what the other sends waits there, no more than
+// a ring of it, and other flows go on. Guards against memory that grows with what nobody takes.
+func TestDoesNotRead(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		from, stuck func(client, host Conn) Conn
+	}{
+		{"the client", func(_, h Conn) Conn { return h }, func(c, _ Conn) Conn { return c }},
+		{"the host", func(c, _ Conn) Conn { return c }, func(_, h Conn) Conn { return h }},
+	} {
+		w := newWorld(t, "proxy", 3, 100)
+		client, host := w.established(chat)
+		from, stuck := c.from(client, host), c.stuck(client, host)
+		w.stalled[stuck] = true
+		taken := 0
+		for w.reads[from] != nil && taken <= 1<<20 {
+			into := w.reads[from]
+			delete(w.reads, from)
+			for i := range into {
+				if into[i] = 'x'; (taken+i)%100 == 99 {
+					into[i] = '\n'
+				}
+			}
+			taken += len(into)
+			w.do(Got{from, len(into), Open})
+		}
+		if taken > ringSize {
+			t.Errorf("%s does not read: %d bytes were taken from the other", c.name, taken)
+		}
+		if other, _ := w.established(chat); w.said[other] != "UP 77\r\n" {
+			t.Errorf("%s does not read: another was told %q", c.name, w.said[other])
+		}
+	}
+}
+
 // Hundreds that connect and say nothing take no descriptor from those who say what they want.
 func TestSilentClients(t *testing.T) {
 	w := newWorld(t, "proxy", 3, 240)
