--- a/internal/node/connect.go
+++ b/internal/node/connect.go
@@ -279,7 +279,7 @@
 		n.probed(c, broken(c.up && len(c.own) == 0, true), untold)
 	case c.role == client && f != nil && f.established && !f.over:
 		n.broke(c) // what was written to it failed
-	case c.role == client && f == nil && c.finish == Open:
+	case c.role == client && f == nil && c.finish == Open && !c.shut:
 		n.dismiss(c, NoLine)
 	case c.role == client:
 		c.endUnasked(NoLine)
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -36,6 +36,7 @@
 // which the node's machine has taken: who sent it reads that it was turned away, and may come again.
 func (n *Node) dismiss(c *conn, why Reason) {
 	c.endUnasked(why)
+	n.wait(c, lingering) // also where nothing goes out to it any more
 	n.answer(c, line.BusyLine(0), c.reason)
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -945,6 +945,25 @@
 	}
 }
 
+// Who does not take what it is told, or broke off meanwhile, is ended all the same. Guards against a connection that is
+// kept for a word which can never go out.
+func TestDismissedUnheard(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		w := newWorld(t, "proxy", 3, 60)
+		c := w.accept()
+		w.stalled[c] = true
+		w.say(c, "PING\r\n", Open)
+		if failed {
+			w.pass(1.95)
+			w.do(Wrote{c, 0, true})
+		}
+		if w.pass(lineWait + lingering + 0.1); w.how[c] != "closed" {
+			t.Errorf("its write failed %v: its side is %q", failed, w.how[c])
+		}
+		w.nothingLeft()
+	}
+}
+
 // Hundreds that connect and say nothing take no descriptor from those who say what they want.
 func TestSilentClients(t *testing.T) {
 	w := newWorld(t, "proxy", 3, 240)
