--- a/cmd/gorseledge/closing_test.go
+++ b/cmd/gorseledge/closing_test.go
@@ -73,6 +73,21 @@
 	})
 }
 
+// A host that floods, before its answer or in place of one, costs the flows that meet it a connect; others are served.
+func TestFloodingHost(t *testing.T) {
+	s := start(t, "proxy", 3, 200)
+	s.respond(0, func(string) string { return strings.Repeat("x", 1<<20) })
+	s.respond(1, func(string) string { return strings.Repeat("x\r\n", 1<<18) })
+	s.serve(2)
+	told := map[string]int{}
+	for range 40 {
+		told[strings.TrimRight(s.ask(), " 0123456789")]++
+	}
+	if told["UP"] < 20 || told["UP"]+told["BUSY"]+told["ERR"] != 40 {
+		t.Errorf("told %v", told)
+	}
+}
+
 // The list is followed while idle clients hold every descriptor that they can, also from a discovery to which the node
 // is sent just then; who has a wish is served. Guards against descriptors that are all with clients when the watch has
 // to be opened anew.
