Tests of cold hosts over all nodes: each node under its own number again

TestSumsOverAllNodes and TestPutBackOfAllNodes gave every node the same number, so that all drew alike and the sum of their connects proved nothing. They pass with a number each.

--- a/placement/hand_test.go
+++ b/placement/hand_test.go
@@ -144,7 +144,7 @@
 	for _, nodes := range []int{1, 3, 80, 1000} {
 		sent, windows := 0, map[int]int{}
 		for node := range nodes {
-			g := newRig(12, func(r *Rundown) { r.Seed, r.Nodes = uint64(node), nodes })
+			g := newRig(12, func(r *Rundown) { r.Seed, r.Nodes, r.Self = uint64(node), nodes, node })
 			g.fill(0, 6) // half a connection a server
 			g.ByHand(g.now, g.index(2), true)
 			g.now += 3
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -316,10 +316,10 @@
 		{"80 nodes, the others full: the multiple of the share", 80, true, 0.4, 0.7},
 		{"1000 nodes, the others full: the multiple of the share", 1000, true, 0.4, 0.7},
 	} {
-		const windows = 8
+		const windows = 100                   // one strays by a twentieth: which nodes have a part at several servers hangs on its draws
 		sent, asked := 0, max(2*c.nodes, 200) // by all nodes in each of some windows
 		for seed := range windows * c.nodes {
-			g := newRig(n, func(r *Rundown) { r.Nodes, r.Seed, r.Self = c.nodes, uint64(seed), int(mix(uint64(seed))>>33) })
+			g := newRig(n, func(r *Rundown) { r.Nodes, r.Seed, r.Self = c.nodes, uint64(seed), seed%c.nodes })
 			g.now += g.FallFor * float64(seed/c.nodes)
 			var list []Listing
 			for i := range n {
@@ -1196,6 +1196,7 @@
 		for seed := range played {
 			g := newRig(servers, func(r *Rundown) {
 				r.Nodes, r.Seed, r.Timed, r.Subscribe, r.AskWithin, r.FallFor = nodes, uint64(seed), true, true, 1000, 1
+				r.Self = seed * nodes / played
 			})
 			cached := make([]Listing, servers)
 			for i := range cached {
@@ -1213,7 +1214,9 @@
 					g.Probed(g.now, i, Served, Report{Load: -1, Took: 0.004})
 				}
 			}
-			last := newRig(servers, func(r *Rundown) { r.Nodes, r.Seed, r.FallFor = nodes, uint64(seed), 1 })
+			last := newRig(servers, func(r *Rundown) {
+				r.Nodes, r.Seed, r.FallFor, r.Self = nodes, uint64(seed), 1, seed*nodes/played
+			})
 			last.List(last.now, ListFull, cached)
 			for i := range servers {
 				if i != 7 { // the cold one is the last that takes anything
