--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,6 @@
 
 // New gives a node at its start; the first Apply is due at once.
 func New(now float64, s Start) *Node {
-	follows := watch{fresh: now, alone: s.Door.Pushed}
 	if s.Door.Pushed { // lists are pushed to the machine's own agent: what that has counts at once
 		s.Rundown.AskWithin = agentWithin
 	}
@@ -112,7 +111,7 @@
 		probes: probeWords(s.Rundown.Reports), mayProbe: s.Rundown.Probes,
 		types: places(s.Door.Types), tenants: places(s.Door.Tenants), zones: places(s.Door.Zones),
 		shut: s.Shut, sockets: s.Sockets, toll: s.Toll + flightSpare, wakeAt: math.Inf(1), timerAt: math.Inf(1),
-		tick: s.Rundown.Tick, watch: follows}
+		tick: s.Rundown.Tick, watch: watch{fresh: now}}
 	for _, name := range s.Door.Types {
 		n.figures.Types = append(n.figures.Types, Tally{Type: name})
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -34,7 +34,6 @@
 	word  float64 // when it was asked for last, or last said anything
 	fresh float64 // when a watch last said anything, or this process began
 	line  float64 // since when a line has been coming that has not ended; 0 for none
-	alone bool    // the machine's own agent answers, which has no others to serve first
 }
 
 // due is when the silence of a watch is too long, infinite where there is none.
@@ -90,12 +89,12 @@
 
 // hush ends a watch that has been silent for too long. A call that waits is not given up: another is made beside it.
 // Guards against a discovery that needs longer than a call waits, where who starts again at the end of its queue is
-// never answered, as well as against a call that got lost.
+// never answered, as well as against a call that got lost. The machine's own agent has no others to serve first.
 func (n *Node) hush() {
 	if n.now < n.watch.due() {
 		return
 	}
-	if n.watch.state == opening && !n.watch.alone {
+	if n.watch.state == opening && !n.door.Pushed {
 		n.misses++
 		n.watch.word = n.now
 		n.ask(Watch{Index: n.index, Beside: true})
