--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -13,6 +13,8 @@
 	"time"
 )
 
+const leaveWithin = 5 * time.Second // for a process that was asked to leave, as the platform gives it
+
 // process is one process of the program.
 type process struct {
 	cmd    *exec.Cmd
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -42,6 +42,28 @@
 	By    float64 `toml:"by" json:"by,omitempty"`
 }
 
+func (f Fault) String() string {
+	text := fmt.Sprintf("%s %v", f.Kind, f.Nodes)
+	if kinds[f.Kind].way {
+		arrow := "to"
+		if f.Both {
+			arrow = "both ways"
+		}
+		if text += " " + arrow; len(f.To) > 0 {
+			text += fmt.Sprintf(" %v", f.To)
+		} else {
+			text += " all"
+		}
+	}
+	if f.By > 0 {
+		text += fmt.Sprintf(" by %g", f.By)
+	}
+	if f.For > 0 {
+		text += fmt.Sprintf(" for %g s", f.For)
+	}
+	return text
+}
+
 // kinds of faults, and what each one needs.
 var kinds = map[string]struct{ way, lasts, by, stream, ends, stays bool }{
 	"stop":     {lasts: true},                      // SIGSTOP, and SIGCONT after it
