Members count their messages and bytes by kind, both ways

Change: the fleet's part counts datagrams by kind and direction, shown at /-/members and /-/metrics.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -107,7 +107,7 @@
 
 func gauge(w io.Writer, name string, n int) { fmt.Fprintf(w, "lb.%s:%d|g\n", name, n) }
 
-// writeMembers gives the figures of the fleet, all gauges.
+// writeMembers gives the figures of the fleet: gauges, and counts of messages and bytes by kind.
 func writeMembers(w io.Writer, v view.View) {
 	states := map[string]int{}
 	bad := 0
@@ -123,6 +123,14 @@
 	gauge(w, "members.bad_links", bad)
 	gauge(w, "members.doubt", v.Doubt)
 	gauge(w, "members.nodes", v.Nodes)
+	for _, t := range v.Traffic {
+		for _, c := range []struct {
+			name  string
+			count int
+		}{{"sent", t.SentMessages}, {"sent_bytes", t.SentBytes}, {"received", t.ReceivedMessages}, {"received_bytes", t.ReceivedBytes}} {
+			fmt.Fprintf(w, "lb.members.%s.%s:%d|c\n", c.name, t.Kind, c.count)
+		}
+	}
 }
 
 // Serve answers calls that come to ln, over at most that many connections at once, until the context ends.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -41,14 +41,15 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("fleet: %w", err)
 	}
-	c, err := parse(path, text)
+	c, err := Parse(path, text)
 	if err != nil {
 		return Config{}, fmt.Errorf("fleet: %w", err)
 	}
 	return c, nil
 }
 
-func parse(path string, text []byte) (Config, error) {
+// Parse reads a fleet file's text; path is for messages.
+func Parse(path string, text []byte) (Config, error) {
 	var c Config
 	if err := strict.Decode(path, text, &c); err != nil {
 		return c, err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,9 @@
 	wake    chan struct{}
 	share   Share
 	told    int
+	traffic traffic
+	changed func(membership.Changed)     // nil where nobody observes
+	dropped func(at netip.AddrPort) bool // nil in service
 }
 
 // New gives a node's part of a fleet by its file; name, build and start are the node's, settled is how many
@@ -58,6 +61,14 @@
 	return f
 }
 
+// Observe has each change of a member's state that this node sees handed on, under the fleet's lock. It is called before
+// Run.
+func (f *Fleet) Observe(changed func(membership.Changed)) { f.changed = changed }
+
+// Filter has datagrams from and to the addresses for which drop is true be lost, as by a cut network. It is for test
+// fleets only and is called before Run.
+func (f *Fleet) Filter(drop func(at netip.AddrPort) bool) { f.dropped = drop }
+
 func (f *Fleet) now() float64 { return f.base + time.Since(f.began).Seconds() }
 
 // Run is a member until the context ends, or the node has left the fleet.
@@ -143,9 +154,15 @@
 }
 
 // hear takes a datagram; whose it is tells the message itself.
-func (f *Fleet) hear(text []byte, _ netip.AddrPort) {
+func (f *Fleet) hear(text []byte, from netip.AddrPort) {
+	if f.dropped != nil && f.dropped(from) {
+		return
+	}
 	f.mu.Lock()
 	m, why := f.seal.open(text)
+	if why == taken {
+		f.traffic.received(m.Kind, len(text))
+	}
 	if why != taken {
 		if f.refused[why]++; f.refused[why] == 1 {
 			f.log.Warn().Str("why", string(why)).Msg("message not taken")
@@ -180,6 +197,9 @@
 		case membership.Send:
 			f.send(e.To, e.Message)
 		case membership.Changed:
+			if f.changed != nil {
+				f.changed(e)
+			}
 			f.log.Info().Str("member", e.Name).Str("state", e.State.String()).Str("was", e.Was.String()).Bool("new", e.New).
 				Str("by", e.By).Uint64("start", e.Start).Uint32("incarnation", e.Incarnation).Int("living", f.core.Living()).
 				Msg("member")
@@ -197,7 +217,7 @@
 		to = via
 	}
 	at, err := peers.Address(to)
-	if err != nil || f.socket == nil {
+	if err != nil || f.socket == nil || f.dropped != nil && f.dropped(at) {
 		return
 	}
 	text, err := f.seal.close(m)
@@ -205,6 +225,7 @@
 		f.log.Error().Err(err).Int("bytes", len(text)).Msg("message not sent")
 		return
 	}
+	f.traffic.sent(m.Kind, len(text))
 	f.socket.Send([][]byte{text}, at)
 }
 
@@ -269,12 +290,33 @@
 	f.mu.Unlock()
 }
 
+// Living is how many members this node holds for living, itself included.
+func (f *Fleet) Living() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.Living()
+}
+
+// Self is this member as it tells of itself.
+func (f *Fleet) Self() membership.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.Self()
+}
+
+// Traffic is what this node sent to and received from other members since its start, by kind.
+func (f *Fleet) Traffic() []view.Traffic {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.traffic.all()
+}
+
 // View gives what this node knows of its fleet now.
 func (f *Fleet) View() view.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := view.View{Fleet: f.config.Fleet, Self: f.core.Self().Name, Living: f.core.Living(), Doubt: f.core.Doubt(),
-		Nodes: f.told, Refused: map[string]int{}}
+		Nodes: f.told, Traffic: f.traffic.all(), Refused: map[string]int{}}
 	all := f.core.All()
 	names := map[uint32]string{}
 	for _, m := range all {
--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -13,6 +13,7 @@
 
 const (
 	version   = 1  // first byte of a message: nodes of two versions ignore each other
+	fleetLen  = 4  // bytes of a hash of the fleet's id
 	macLen    = 16 // bytes of HMAC-SHA256 that go along
 	mostSize  = 256
 	mostBody  = 208 // bytes of a message itself; the rest proves that it is the fleet's and new
@@ -38,7 +39,7 @@
 
 func newSeal(c Config) *seal {
 	sum := sha256.Sum256([]byte(c.Fleet))
-	return &seal{fleet: sum[:4], keys: c.keys, seen: map[string][]counts{}}
+	return &seal{fleet: sum[:fleetLen], keys: c.keys, seen: map[string][]counts{}}
 }
 
 func mac(key []byte, s *wire.Sealed) []byte {
@@ -63,6 +64,13 @@
 	return proto.MarshalOptions{}.MarshalAppend([]byte{version}, sealed)
 }
 
+// DatagramBytes gives the size of the datagram of a message of so many bytes, when a sender has sent some thousands.
+func DatagramBytes(message int) int {
+	const count = 1 << 13
+	sealed := &wire.Sealed{Fleet: make([]byte, fleetLen), Count: count, Body: make([]byte, message), Mac: make([]byte, macLen)}
+	return 1 + proto.Size(sealed)
+}
+
 // refusal says why a datagram is not taken.
 type refusal string
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -26,6 +26,7 @@
 	Doubt   int            `json:"doubt"`
 	Nodes   int            `json:"nodes"`
 	Members []Seen         `json:"members"`
+	Traffic []Traffic      `json:"traffic,omitempty"`
 	Refused map[string]int `json:"refused,omitempty"`
 }
 
@@ -42,3 +43,13 @@
 	Ready       bool     `json:"ready"`
 	Bad         []string `json:"bad_links,omitempty"`
 }
+
+// Traffic counts the datagrams of one kind since the process's start. Bytes are those of the datagrams, without the
+// headers of UDP and IP. Received are only those that were taken: Refused counts the others.
+type Traffic struct {
+	Kind             string `json:"kind"`
+	SentMessages     int    `json:"sent_messages"`
+	SentBytes        int    `json:"sent_bytes"`
+	ReceivedMessages int    `json:"received_messages"`
+	ReceivedBytes    int    `json:"received_bytes"`
+}
