Rig: its nodes and relays for runs that no script describes

Cause: a run at many sizes needs the rig's processes, relays and stand-ins, which only a rig script could start. Change: Relay is public, and Nodes starts processes with fleet files and names of the caller's.

--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -124,9 +124,9 @@
 			if k == from {
 				continue
 			}
-			r.relays[[2]int{from, k}].set(change)
+			r.relays[[2]int{from, k}].Set(change)
 			if f.Both {
-				r.relays[[2]int{k, from}].set(change)
+				r.relays[[2]int{k, from}].Set(change)
 			}
 		}
 	}
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -32,6 +32,7 @@
 	file   *os.File
 	out    *bufio.Writer
 	path   string
+	seen   func(Event) // told of each, with At as Unix seconds; nil for nobody
 }
 
 // newHistory writes to a file that has its name once it is whole; an empty path keeps nothing on disk.
@@ -57,6 +58,11 @@
 		e.At = h.now()
 	}
 	h.events = append(h.events, e)
+	if h.seen != nil {
+		told := e
+		told.At += float64(h.began.UnixNano()) / 1e9
+		h.seen(told)
+	}
 	if h.out != nil {
 		json.NewEncoder(h.out).Encode(e)
 	}
--- a/internal/rig/judge_test.go
+++ b/internal/rig/judge_test.go
@@ -99,12 +99,12 @@
 		t.Fatal(err)
 	}
 	defer to.Close()
-	r, err := newRelay(to.LocalAddr().String(), 1)
+	r, err := NewRelay(to.LocalAddr().String(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.close()
-	from, err := net.Dial("udp", r.address())
+	defer r.Close()
+	from, err := net.Dial("udp", r.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,11 +123,11 @@
 	if a, b := read(), read(); a != "first" || b != "second" {
 		t.Fatalf("%s %s", a, b)
 	}
-	r.set(func(w *Way) { w.Replay = 100 })
+	r.Set(func(w *Way) { w.Replay = 100 })
 	for seen := map[string]bool{}; len(seen) < 2; { // both come, in any order
 		seen[read()] = true
 	}
-	r.set(func(w *Way) { w.Replay = 0 })
+	r.Set(func(w *Way) { w.Replay = 0 })
 	from.Write([]byte("third"))
 	for read() != "third" { // what was on the way comes first
 	}
--- /dev/null
+++ b/internal/rig/nodes.go
@@ -0,0 +1,133 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gorseledge/internal/fleet"
+	"gorseledge/internal/fleet/view"
+	"gorseledge/internal/rig/standin"
+)
+
+// Nodes are nodes of the built program with their stand-ins, for runs that no Script describes: the caller chooses
+// names and fleet files and brings its own faults about.
+type Nodes struct {
+	rig *Rig
+	of  []*Node
+}
+
+// Node is one of them.
+type Node struct {
+	node *node
+	File fleet.Config // its fleet file; Address is set by Add where it is empty
+}
+
+// NodesOptions are what Nodes are started with.
+type NodesOptions struct {
+	Program string
+	Dir     string // for the nodes' directories
+	Seed    uint64
+	Hosts   int         // stand-ins
+	Flows   float64     // new clients a second, over all nodes
+	Seen    func(Event) // told as it is seen, with At as Unix seconds; may be nil
+}
+
+// NewNodes starts the stand-ins. Close ends them and all nodes.
+func NewNodes(o NodesOptions) (*Nodes, error) {
+	h, err := newHistory("")
+	if err != nil {
+		return nil, err
+	}
+	h.seen = o.Seen
+	r := &Rig{Options: Options{Program: o.Program, Seed: o.Seed, Dir: o.Dir}, script: &Script{Flows: o.Flows}, history: h,
+		rand:   rand.New(rand.NewPCG(o.Seed, 11)),
+		client: &http.Client{Timeout: viewWithin, Transport: &http.Transport{DisableKeepAlives: true}}}
+	n := &Nodes{rig: r}
+	if r.hosts, err = standin.StartHosts(o.Hosts); err != nil {
+		return nil, err
+	}
+	r.roster = standin.StartDiscovery()
+	r.roster.Tell(r.hosts.List(1))
+	return n, nil
+}
+
+// viewWithin is the time for an answer from a node that knows a large fleet, on a busy machine.
+const viewWithin = 5 * time.Second
+
+// Add prepares a node with a name and a fleet file of its own; settled is the number of nodes that its settings
+// speak of. Prepare writes its files, Start starts it.
+func (n *Nodes) Add(name string, file fleet.Config) (*Node, error) {
+	i := len(n.rig.nodes)
+	one := &node{rig: n.rig, i: i, label: name, dir: filepath.Join(n.rig.Dir, name), fleet: file.Address}
+	for _, at := range []*string{&one.client, &one.admin, &one.fleet} {
+		if *at != "" {
+			continue
+		}
+		var err error
+		if *at, err = free(i); err != nil {
+			return nil, err
+		}
+	}
+	file.Address = one.fleet
+	n.rig.nodes = append(n.rig.nodes, one)
+	added := &Node{node: one, File: file}
+	n.of = append(n.of, added)
+	return added, nil
+}
+
+// Traffic has clients come until the first context ends; those who are there stay until the second does, and are
+// waited for.
+func (n *Nodes) Traffic(ctx, whole context.Context) {
+	n.rig.flows.Go(func() { n.rig.traffic(ctx, whole) })
+}
+
+// Flows gives how many flows ended, by their answers.
+func (n *Nodes) Flows() map[string]int {
+	out := map[string]int{}
+	for _, e := range n.rig.history.all() {
+		if e.What == "flow" {
+			out[e.Answer]++
+		}
+	}
+	return out
+}
+
+// Close ends everything and waits for it.
+func (n *Nodes) Close() { n.rig.close() }
+
+// Prepare writes the node's directory; settled is the number of nodes that its settings speak of.
+func (n *Node) Prepare(settled int) error {
+	if err := os.MkdirAll(n.node.dir, 0o755); err != nil {
+		return err
+	}
+	return n.node.rig.write(n.node, n.File, settled)
+}
+
+// Start starts the node where it does not run.
+func (n *Node) Start() error { return n.node.start() }
+
+// Kill ends the node's process at once.
+func (n *Node) Kill() { n.node.kill() }
+
+// Leave asks the node to leave, and waits for it.
+func (n *Node) Leave() { n.node.leave() }
+
+// PID is the process that serves; 0 for none.
+func (n *Node) PID() int {
+	n.node.mu.Lock()
+	defer n.node.mu.Unlock()
+	if n.node.now == nil {
+		return 0
+	}
+	return n.node.now.cmd.Process.Pid
+}
+
+// View asks the node for what it knows of its fleet.
+func (n *Node) View(ctx context.Context) (view.View, error) { return n.node.rig.view(ctx, n.node) }
+
+func (n *Node) String() string { return fmt.Sprint(n.node.name()) }
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{Options: o, script: s, history: h, relays: map[[2]int]*relay{},
+	r := &Rig{Options: o, script: s, history: h, relays: map[[2]int]*Relay{},
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 		rand:   rand.New(rand.NewPCG(o.Seed, 11))}
 	defer func() {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -34,6 +34,7 @@
 type node struct {
 	rig     *Rig
 	i       int
+	label   string // its name, where that is not its number
 	dir     string
 	client  string // addresses
 	admin   string
@@ -44,7 +45,12 @@
 	stopped bool
 }
 
-func (n *node) name() string { return fmt.Sprintf("n%d", n.i) }
+func (n *node) name() string {
+	if n.label != "" {
+		return n.label
+	}
+	return fmt.Sprintf("n%d", n.i)
+}
 
 // launch starts a process of the node.
 func (n *node) launch() (*process, error) {
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -19,8 +19,8 @@
 	PerByte float64 // seconds that a byte of a stream takes
 }
 
-// relay carries what one process sends another, datagrams and streams, by a way that may change at any time.
-type relay struct {
+// Relay carries what one process sends another, datagrams and streams, by a way that may change at any time.
+type Relay struct {
 	in      *net.UDPConn
 	streams *net.TCPListener
 	to      string // the receiver's own address
@@ -39,8 +39,8 @@
 	replayGap = 100 * time.Millisecond // between two lots of old datagrams
 )
 
-// newRelay opens a relay to an address, on one port for both.
-func newRelay(to string, seed uint64) (*relay, error) {
+// NewRelay opens a relay to an address, on one port for both.
+func NewRelay(to string, seed uint64) (*Relay, error) {
 	for try := 0; ; try++ {
 		ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
@@ -54,7 +54,7 @@
 			}
 			return nil, err
 		}
-		r := &relay{in: in, streams: ln, to: to, rand: rand.New(rand.NewPCG(seed, 5)), conns: map[net.Conn]bool{},
+		r := &Relay{in: in, streams: ln, to: to, rand: rand.New(rand.NewPCG(seed, 5)), conns: map[net.Conn]bool{},
 			closed: make(chan struct{})}
 		r.group.Go(r.datagrams)
 		r.group.Go(r.accept)
@@ -62,10 +62,11 @@
 	}
 }
 
-func (r *relay) address() string { return r.in.LocalAddr().String() }
+// Address is where the relay takes datagrams and streams, on one port.
+func (r *Relay) Address() string { return r.in.LocalAddr().String() }
 
-// set changes the way; streams that are open break where it is cut.
-func (r *relay) set(change func(*Way)) {
+// Set changes the way; streams that are open break where it is cut.
+func (r *Relay) Set(change func(*Way)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	change(&r.way)
@@ -76,7 +77,7 @@
 	}
 }
 
-func (r *relay) datagrams() {
+func (r *Relay) datagrams() {
 	to, err := net.ResolveUDPAddr("udp", r.to)
 	if err != nil {
 		return
@@ -128,7 +129,7 @@
 }
 
 // over tells whether the relay is closed.
-func (r *relay) over() bool {
+func (r *Relay) over() bool {
 	select {
 	case <-r.closed:
 		return true
@@ -139,7 +140,7 @@
 
 // keep notes a datagram that passed, for who has the lock: each has the same chance to be among those that
 // are kept.
-func (r *relay) keep(text []byte) {
+func (r *Relay) keep(text []byte) {
 	r.passed++
 	at := len(r.old)
 	if at < mostOld {
@@ -151,7 +152,7 @@
 }
 
 // replay sends old datagrams again, where the way says so, until the relay is closed.
-func (r *relay) replay(out *net.UDPConn, to *net.UDPAddr) {
+func (r *Relay) replay(out *net.UDPConn, to *net.UDPAddr) {
 	for due := 0.0; ; {
 		select {
 		case <-time.After(replayGap):
@@ -172,7 +173,7 @@
 	}
 }
 
-func (r *relay) accept() {
+func (r *Relay) accept() {
 	for {
 		c, err := r.streams.Accept()
 		if err != nil {
@@ -189,7 +190,7 @@
 	}
 }
 
-func (r *relay) stream(c net.Conn) {
+func (r *Relay) stream(c net.Conn) {
 	far, err := net.DialTimeout("tcp", r.to, time.Second)
 	if err != nil {
 		c.Close()
@@ -213,7 +214,7 @@
 }
 
 // copy carries one direction of a stream.
-func (r *relay) copy(to, from net.Conn) {
+func (r *Relay) copy(to, from net.Conn) {
 	defer to.Close()
 	defer from.Close()
 	buf := make([]byte, 16<<10)
@@ -236,8 +237,8 @@
 	}
 }
 
-// close ends the relay and waits until nothing of it runs.
-func (r *relay) close() {
+// Close ends the relay and waits until nothing of it runs.
+func (r *Relay) Close() {
 	r.mu.Lock()
 	close(r.closed)
 	for c := range r.conns {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -23,7 +23,7 @@
 	script  *Script
 	history *history
 	nodes   []*node
-	relays  map[[2]int]*relay
+	relays  map[[2]int]*Relay
 	hosts   *standin.Hosts
 	roster  *standin.Discovery
 	client  *http.Client
@@ -39,7 +39,7 @@
 	}
 	r.flows.Wait()
 	for _, l := range r.relays {
-		l.close()
+		l.Close()
 	}
 	if r.roster != nil {
 		r.roster.Close()
--- a/internal/rig/setup.go
+++ b/internal/rig/setup.go
@@ -34,7 +34,7 @@
 	for i := range r.nodes {
 		for k := range r.nodes {
 			if i != k {
-				if r.relays[[2]int{i, k}], err = newRelay(r.nodes[k].fleet, r.Seed*1000+uint64(i*100+k)); err != nil {
+				if r.relays[[2]int{i, k}], err = NewRelay(r.nodes[k].fleet, r.Seed*1000+uint64(i*100+k)); err != nil {
 					return err
 				}
 			}
@@ -85,9 +85,14 @@
 			file.Join = append(file.Join, other.fleet)
 		}
 		if k != n.i {
-			file.Via[other.fleet] = r.relays[[2]int{n.i, k}].address()
+			file.Via[other.fleet] = r.relays[[2]int{n.i, k}].Address()
 		}
 	}
+	return r.write(n, file, len(r.nodes))
+}
+
+// write writes a node's fleet file and its config; settled is the number of nodes that its settings speak of.
+func (r *Rig) write(n *node, file fleet.Config, settled int) error {
 	text, err := toml.Marshal(file)
 	if err != nil {
 		return err
@@ -96,7 +101,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	text, err = json.Marshal(config(n, r.roster.Address(), path, r.Seed*31+uint64(n.i), len(r.nodes)))
+	text, err = json.Marshal(config(n, r.roster.Address(), path, r.Seed*31+uint64(n.i), settled))
 	if err != nil {
 		return err
 	}
