gorselab scale: hollow nodes beside real ones, at several sizes

Cause: what membership costs at 860 nodes was known from the virtual clock alone, without sockets, timers and the authentication of messages, and no real process was held against it. Change: internal/scale starts real nodes and hollow ones (the same fleet part and sockets, by the hundred in a process), measures CPU, memory, messages and bytes at rest and through a script's events, and when the first and the last know. Hollow, real and virtual nodes have to agree within a tenth; bounds of a node and of the machine are held.

--- a/internal/emulator/members/world.go
+++ b/internal/emulator/members/world.go
@@ -23,6 +23,10 @@
 	Repeat float64 // part of all messages that comes twice
 	Zones  int
 	Period float64
+
+	Address func(i int) string          // of a node; one of its own for each where it is nil
+	Build   string                      // that each tells of itself
+	Size    func(msg *wire.Message) int // of a message on its way; of itself alone where it is nil
 }
 
 // Event is one change that a node saw.
@@ -67,6 +71,12 @@
 	if w.Delay == 0 {
 		w.Delay = 0.001
 	}
+	if w.Address == nil {
+		w.Address = func(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&255) }
+	}
+	if w.Size == nil {
+		w.Size = func(msg *wire.Message) int { return proto.Size(msg) }
+	}
 	for range o.Nodes {
 		w.Start(fmt.Sprintf("n%04d", len(w.nodes)), "")
 	}
@@ -77,7 +87,7 @@
 func (w *World) Start(name, address string) int {
 	i := len(w.nodes)
 	if address == "" {
-		address = fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&255)
+		address = w.Address(i)
 	}
 	zone := ""
 	if w.Zones > 0 {
@@ -85,11 +95,12 @@
 	}
 	var join []string
 	for k := range 3 {
-		join = append(join, fmt.Sprintf("10.0.0.%d:7000", k))
+		join = append(join, w.Address(k))
 	}
 	n := &node{name: name, address: address}
 	n.Members = membership.New(w.Now, membership.Config{
-		Self: membership.Member{Name: name, Start: uint64(w.Now*1e6) + uint64(i), Address: address, Zone: zone, Ready: true},
+		Self: membership.Member{Name: name, Start: uint64(w.Now*1e6) + uint64(i), Address: address, Zone: zone, Build: w.Build,
+			Ready: true},
 		Join: join, Seed: w.Seed*7919 + uint64(i), Period: w.Period, Timeout: w.Period / 5, Helpers: 3, Most: 208,
 		Plain: w.Plain})
 	w.nodes = append(w.nodes, n)
@@ -138,7 +149,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case membership.Send:
-			size := proto.Size(e.Message)
+			size := w.Size(e.Message)
 			w.Bytes[i] += size
 			w.Messages[i]++
 			w.Largest = max(w.Largest, size)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -297,6 +297,20 @@
 	return f.core.Living()
 }
 
+// News is how many members this node still tells others of; none in a fleet at rest.
+func (f *Fleet) News() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.News()
+}
+
+// Member is what this node knows of a member; false where it does not know it.
+func (f *Fleet) Member(name string) (membership.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.Member(name)
+}
+
 // Self is this member as it tells of itself.
 func (f *Fleet) Self() membership.Member {
 	f.mu.Lock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -337,6 +337,17 @@
 // Living is how many members live or are only suspected, this one included.
 func (m *Members) Living() int { return m.living }
 
+// News is how many members this one still tells others of, with messages that it sends anyway.
+func (m *Members) News() int { return len(m.news) }
+
+// Member gives a member by its name, this one included; false where it is not known.
+func (m *Members) Member(name string) (Member, bool) {
+	if x := m.known(name); x != nil {
+		return x.Member, true
+	}
+	return Member{}, false
+}
+
 // All gives every member that is known, this one included, by name.
 func (m *Members) All() []Member {
 	all := []Member{m.self.Member}
--- /dev/null
+++ b/internal/scale/judge_test.go
@@ -0,0 +1,91 @@
+package scale
+
+import (
+	"testing"
+
+	"gorseledge/internal/fleet/view"
+)
+
+// judged gives the rules that costs at rest break.
+func judged(hollow, real costs) map[string]int {
+	s, err := Read("script", []byte("sizes = [100]\n"))
+	if err != nil {
+		panic(err)
+	}
+	r := &run{script: s, result: &Result{Size: 100}}
+	r.judgeRest(hollow, real)
+	out := map[string]int{}
+	for _, b := range r.result.Breaks {
+		out[b.Rule]++
+	}
+	return out
+}
+
+// Each bound at rest breaks by what is a little beyond it, and by nothing else.
+func TestBoundsAtRest(t *testing.T) {
+	sends := func(messages, bytes float64) map[string]rate {
+		return map[string]rate{"ping": {messages, bytes, messages, bytes}}
+	}
+	good := costs{nodes: 84, cpu: 0.012, slope: 63e6, traffic: sends(2, 7000)}
+	for _, c := range []struct {
+		name   string
+		change func(hollow, real *costs)
+		rule   string
+		breaks int
+	}{
+		{"good", func(_, _ *costs) {}, "", 0},
+		{"messages", func(h, _ *costs) { h.traffic = sends(2.3, 7000) }, RuleTruth, 2},
+		{"bytes", func(_, k *costs) { k.traffic = sends(2, 8000) }, RuleTruth, 2},
+		{"nothing measured", func(h, k *costs) { h.traffic, k.traffic = sends(0, 0), sends(0, 0) }, RuleTruth, 4},
+		{"cpu", func(h, _ *costs) { h.cpu = 0.0131 }, RuleCPU, 1},
+		{"memory", func(h, _ *costs) { h.slope = 65e6 }, RuleMemory, 1},
+		{"bandwidth", func(h, k *costs) { h.traffic, k.traffic = sends(2, 7600), sends(2, 7600) }, RuleBandwidth, 1},
+	} {
+		hollow, real := good, good
+		c.change(&hollow, &real)
+		got := judged(hollow, real)
+		if got[c.rule] != c.breaks || len(got) > 1 || len(got) == 1 && c.breaks == 0 {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// Costs are what was spent between two samples, over the time that nodes ran.
+func TestCostsOfAPhase(t *testing.T) {
+	ping := func(n int) []view.Traffic {
+		return []view.Traffic{{Kind: "ping", SentMessages: n, SentBytes: 90 * n, ReceivedMessages: n, ReceivedBytes: 90 * n}}
+	}
+	before := sample{hollowSeconds: 100, hollowNodes: 30, hollowTraffic: ping(1000),
+		hollow: []hollowSample{{usage{1, 1e7}, 10}, {usage{2, 2e7}, 20}, {usage{2, 3e7}, 30}},
+		real:   map[int]realSample{7: {usage{1, 1e7}, ping(10)}, 8: {usage{1, 1e7}, ping(10)}}}
+	after := sample{at: before.at.Add(10e9), hollowSeconds: 700, hollowNodes: 60, hollowTraffic: ping(1600),
+		hollow: []hollowSample{{usage{1.1, 1e7}, 10}, {usage{2.2, 2e7}, 20}, {usage{2.3, 3e7}, 30}},
+		real:   map[int]realSample{7: {usage{1.5, 1.2e7}, ping(30)}, 9: {usage{5, 5e7}, ping(900)}}}
+	h := hollowCosts(before, after)
+	if got := h.traffic["ping"]; got != (rate{1, 90, 1, 90}) || !near(h.cpu, 0.001) || !near(h.slope, 1e6) || !near(h.memory, 1e6) {
+		t.Errorf("hollow: %+v", h)
+	}
+	r := realCosts(before, after) // only process 7 ran through
+	if got := r.traffic["ping"]; r.nodes != 1 || got.sentMessages != 2 || !near(r.cpu, 0.05) || r.memory != 1.2e7 {
+		t.Errorf("real: %+v", r)
+	}
+}
+
+func near(a, b float64) bool { return a > b*0.999 && a < b*1.001 }
+
+// A view that lacks a member, or holds one for living that is gone, is told.
+func TestDisagreementIsCounted(t *testing.T) {
+	v := view.View{Self: "a", Members: []view.Seen{{Name: "a", State: "alive"}, {Name: "b", State: "suspect"}, {Name: "c", State: "dead"}}}
+	for _, c := range []struct {
+		running []string
+		wrong   int
+	}{{[]string{"a", "b"}, 0}, {[]string{"a", "b", "c"}, 1}, {[]string{"a"}, 1}, {[]string{"a", "b", "d"}, 1}} {
+		running := map[string]bool{}
+		for _, name := range c.running {
+			running[name] = true
+		}
+		if wrong, first := disagreement(v, running); wrong != c.wrong || (first != "") != (wrong > 0) {
+			t.Errorf("%v run: %d wrong, %q", c.running, wrong, first)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/plan_test.go
@@ -0,0 +1,89 @@
+package scale
+
+import (
+	"testing"
+)
+
+// Every zone has its part of the nodes and some real ones, racks are full, and addresses differ by nothing that would make
+// one node's messages longer.
+func TestPlanSpreadsNodesOverZones(t *testing.T) {
+	s, err := Read("script", []byte("sizes = [860]\nreal = 16\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := newPlan(s, 860, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	nodes, reals, racks, regions := map[string]int{}, map[string]int{}, map[string]int{}, map[int]int{}
+	addresses, processes := map[string]bool{}, map[int]int{}
+	for _, n := range p.Nodes {
+		nodes[n.Zone]++
+		regions[n.Region]++
+		addresses[n.Address] = true
+		if len(n.Address) != len(p.Nodes[0].Address) || len(n.Name) != len(p.Nodes[0].Name) {
+			t.Errorf("%s at %s: another length", n.Name, n.Address)
+		}
+		if n.Rack == 0 {
+			racks[n.Zone]++
+		}
+		if n.Real {
+			reals[n.Zone]++
+		} else {
+			processes[n.Process]++
+		}
+	}
+	for zone, n := range nodes {
+		if n < 107 || n > 108 || reals[zone] != 2 || racks[zone] != 20 {
+			t.Errorf("zone %s: %d nodes, %d real, %d in its first rack", zone, n, reals[zone], racks[zone])
+		}
+	}
+	if len(nodes) != 8 || len(regions) != 3 || regions[2] != 214 || len(addresses) != 860 {
+		t.Errorf("%d zones, regions %v, %d addresses", len(nodes), regions, len(addresses))
+	}
+	least, most := 1000, 0
+	for _, n := range processes {
+		least, most = min(least, n), max(most, n)
+	}
+	if least*2 > most {
+		t.Errorf("processes of %d to %d nodes: too even to tell a node's memory from a process's", least, most)
+	}
+}
+
+// All nodes are hosted, whatever the number of processes.
+func TestHollowProcessesHostAllNodes(t *testing.T) {
+	for _, c := range []struct{ nodes, mean int }{{1, 100}, {2, 1}, {34, 12}, {844, 100}, {1704, 70}, {3, 500}} {
+		sum := 0
+		for _, n := range hollowProcesses(c.nodes, c.mean) {
+			if n < 1 {
+				t.Errorf("%+v: a process without a node", c)
+			}
+			sum += n
+		}
+		if sum != c.nodes {
+			t.Errorf("%+v: %d nodes hosted", c, sum)
+		}
+	}
+}
+
+// Two runs of one machine have networks of their own.
+func TestPlansShareNoAddress(t *testing.T) {
+	s, err := Read("script", []byte("sizes = [20]\nreal = 3\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := newPlan(s, 20, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.close()
+	b, err := newPlan(s, 20, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.close()
+	if a.Nodes[0].Address == b.Nodes[0].Address {
+		t.Errorf("both at %s", a.Nodes[0].Address)
+	}
+}
--- /dev/null
+++ b/internal/scale/sample.go
@@ -0,0 +1,160 @@
+package scale
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"gorseledge/internal/fleet/view"
+)
+
+// sample is what all processes have spent at one moment.
+type sample struct {
+	at            time.Time
+	hollowSeconds float64 // that hollow nodes have run, over all of them
+	hollowNodes   int
+	hollow        []hollowSample
+	hollowTraffic []view.Traffic
+	suspicions    int                // that hollow nodes had
+	real          map[int]realSample // by process
+}
+
+type hollowSample struct {
+	usage
+	nodes int
+}
+
+type realSample struct {
+	usage
+	traffic []view.Traffic
+}
+
+// sample reads what the processes have spent.
+func (r *run) sample(ctx context.Context) (s sample, err error) {
+	replies, err := r.hollows.all(request{Kind: requestReport})
+	if err != nil {
+		return s, err
+	}
+	s = sample{real: map[int]realSample{}}
+	for i, pid := range r.hollows.pids() {
+		u, err := usageOf(pid)
+		if err != nil {
+			return s, err
+		}
+		s.hollow = append(s.hollow, hollowSample{u, replies[i].Report.Nodes})
+		s.hollowNodes += replies[i].Report.Nodes
+		s.suspicions += replies[i].Report.Seen.Suspicions
+		s.hollowTraffic = addTraffic(s.hollowTraffic, replies[i].Report.Traffic)
+	}
+	s.at, s.hollowSeconds = time.Now(), r.running.seconds(time.Now())
+	for i, v := range r.reals.views(ctx) {
+		pid := r.reals.of[i].node.PID()
+		if u, err := usageOf(pid); err == nil {
+			s.real[pid] = realSample{u, v.Traffic}
+		}
+	}
+	return s, ctx.Err()
+}
+
+// running counts the time that hollow nodes have run.
+type running struct {
+	nodes int
+	since time.Time
+	sum   float64
+}
+
+// add takes that so many more run from now on.
+func (r *running) add(nodes int) {
+	now := time.Now()
+	r.sum, r.since = r.seconds(now), now
+	r.nodes += nodes
+}
+
+func (r *running) seconds(now time.Time) float64 {
+	if r.nodes == 0 {
+		return r.sum
+	}
+	return r.sum + float64(r.nodes)*now.Sub(r.since).Seconds()
+}
+
+// costs are what one node of a kind spent in a phase.
+type costs struct {
+	nodes      int
+	cpu        float64 // part of a core
+	memory     float64 // bytes resident
+	traffic    map[string]rate
+	suspicions float64 // of other members, a second; of hollow nodes alone
+	slope      float64 // bytes of one more hollow node in a process; 0 where it is not known
+	base       float64 // bytes of a hollow process without a node
+}
+
+// rate is messages and bytes a second.
+type rate struct{ sentMessages, sentBytes, receivedMessages, receivedBytes float64 }
+
+func (a rate) plus(b rate) rate {
+	return rate{a.sentMessages + b.sentMessages, a.sentBytes + b.sentBytes, a.receivedMessages + b.receivedMessages,
+		a.receivedBytes + b.receivedBytes}
+}
+
+// total sums up all kinds.
+func (c costs) total() (sum rate) {
+	for _, x := range c.traffic {
+		sum = sum.plus(x)
+	}
+	return sum
+}
+
+// addRates adds what was counted between two samples, over a time, to rates.
+func addRates(to map[string]rate, before, after []view.Traffic, seconds float64) {
+	for _, t := range after {
+		for _, was := range before {
+			if was.Kind == t.Kind {
+				t.SentMessages -= was.SentMessages
+				t.SentBytes -= was.SentBytes
+				t.ReceivedMessages -= was.ReceivedMessages
+				t.ReceivedBytes -= was.ReceivedBytes
+			}
+		}
+		to[t.Kind] = to[t.Kind].plus(rate{float64(t.SentMessages) / seconds, float64(t.SentBytes) / seconds,
+			float64(t.ReceivedMessages) / seconds, float64(t.ReceivedBytes) / seconds})
+	}
+}
+
+// hollowCosts gives the cost of a hollow node between two samples.
+func hollowCosts(before, after sample) costs {
+	c := costs{nodes: after.hollowNodes, traffic: map[string]rate{}}
+	spent := after.hollowSeconds - before.hollowSeconds
+	var memory float64
+	var nodes, resident []float64
+	for i, h := range after.hollow {
+		c.cpu += (h.cpu - before.hollow[i].cpu) / spent
+		memory += h.memory
+		nodes, resident = append(nodes, float64(h.nodes)), append(resident, h.memory)
+	}
+	c.memory = memory / float64(max(after.hollowNodes, 1))
+	if f := fitLine(nodes, resident); f.Points >= 3 && !math.IsNaN(f.Slope) {
+		c.slope, c.base = f.Slope, f.Base
+	}
+	c.suspicions = float64(after.suspicions-before.suspicions) / spent
+	addRates(c.traffic, before.hollowTraffic, after.hollowTraffic, spent)
+	return c
+}
+
+// realCosts gives the cost of a real node between two samples, in the mean over those that ran through.
+func realCosts(before, after sample) costs {
+	c := costs{traffic: map[string]rate{}}
+	for pid := range after.real {
+		if _, ran := before.real[pid]; ran {
+			c.nodes++
+		}
+	}
+	seconds := after.at.Sub(before.at).Seconds() * float64(c.nodes)
+	for pid, now := range after.real {
+		if was, ran := before.real[pid]; ran {
+			c.cpu += (now.cpu - was.cpu) / seconds
+			c.memory += now.memory / float64(c.nodes)
+			addRates(c.traffic, was.traffic, now.traffic, seconds)
+		}
+	}
+	return c
+}
