Control file of the control servers; the check of a fleet's keys in a package of its own

The control servers' file has the same rules for keys as the fleet file, which checked them in its own reader. internal/fleetkey decodes both now, and internal/configfeed/controlfile reads the control file strictly: names of at most 64 bytes, numeric addresses, an odd number of servers, no name or address twice; an error names file, line and key. go test ./internal/fleet ./internal/fleetkey ./internal/configfeed/... passes.

--- /dev/null
+++ b/internal/configfeed/controlfile/controlfile_test.go
@@ -0,0 +1,94 @@
+package controlfile
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const goodFile = `fleet = "lima"
+name = "c2"
+key = "00112233445566778899aabbccddeeff"
+directory = "/var/lib/gorsecontrol"
+writer = "c1"
+
+[[server]]
+name = "c1"
+address = "127.0.0.1:7100"
+region = "east"
+
+[[server]]
+name = "c2"
+address = "127.0.0.2:7100"
+region = "west"
+
+[[server]]
+name = "c3"
+address = "127.0.0.3:7100"
+region = "west"
+
+[via]
+"127.0.0.1:7100" = "127.0.0.9:1234"
+`
+
+// lastServer is the table of the third server.
+var lastServer = goodFile[strings.LastIndex(goodFile, "[[server]]"):strings.Index(goodFile, "[via]")]
+
+func TestReadTakesAGoodFile(t *testing.T) {
+	for _, text := range []string{goodFile, strings.Replace(goodFile, "directory", "old_key = \"00112233445566778899aabbccddeeff\"\ndirectory", 1)} {
+		path := filepath.Join(t.TempDir(), "control.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := Read(path)
+		if err != nil || len(c.Servers) != 3 || len(c.Keys) < 1 || c.Via["127.0.0.1:7100"] != "127.0.0.9:1234" {
+			t.Fatalf("%+v, %v", c, err)
+		}
+	}
+}
+
+func TestReadNamesFileLineAndKeyOfAMistake(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "control.toml")
+	long := strings.Repeat("c", 65)
+	for _, c := range []struct{ from, to, line, says string }{
+		{`fleet = "lima"`, ``, "1", "fleet: is missing"},
+		{`fleet = "lima"`, `fleet = "a b"`, "1", "fleet: "},
+		{`name = "c2"`, `name = "c9"`, "2", "name: there is no server c9"},
+		{`name = "c2"`, `name = "` + long + `"`, "2", "name: 65 bytes"},
+		{"00112233", "0011", "3", "key: wanted"},
+		{"00112233", "zz112233", "3", "key: wanted"},
+		{"directory =", "old_key = \"00\"\ndirectory =", "4", "old_key: wanted"},
+		{`directory = "/var/lib/gorsecontrol"`, ``, "1", "directory: is missing"},
+		{`directory =`, `directry =`, "4", "unknown key directry"},
+		{`writer = "c1"`, `writer = "c4"`, "5", "writer: there is no server c4"},
+		{`writer = "c1"`, `writer = 1`, "5", ""},
+		{`name = "c3"`, `name = "c1"`, "18", "name: there are two servers c1"},
+		{`name = "c3"`, `name = ""`, "18", "name: is missing"},
+		{`"127.0.0.3:7100"`, `"127.0.0.1:7100"`, "19", "address: two servers have"},
+		{`"127.0.0.3:7100"`, `"control:7100"`, "19", "address: "},
+		{`"127.0.0.3:7100"`, `"0.0.0.0:7100"`, "19", "address: "},
+		{`"127.0.0.3:7100"`, `"127.0.0.3"`, "19", "address: "},
+		{"region = \"west\"\n\n[via]", "[via]", "17", "region: is missing"},
+		{"region = \"west\"\n\n[via]", "region = \"west\"\nzone = \"a\"\n\n[via]", "21", "unknown key server.zone"},
+		{lastServer, "", "7", "server: there are 2, and an odd number is wanted"},
+		{`"127.0.0.9:1234"`, `"c9:1234"`, "23", "via: "},
+		{"[via]", "[via", "22", ""},
+	} {
+		if !strings.Contains(goodFile, c.from) {
+			t.Fatalf("%q is not in the good file", c.from)
+		}
+		text := strings.Replace(goodFile, c.from, c.to, 1)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(path)
+		if err == nil || !strings.Contains(err.Error(), path+":"+c.line+":") || !strings.Contains(err.Error(), c.says) ||
+			strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, wanted line %s and %q", c.to, err, c.line, c.says)
+		}
+	}
+	if _, err := Read(path + ".none"); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Errorf("a file that does not exist: %v", err)
+	}
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -3,19 +3,18 @@
 package fleet
 
 import (
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"strconv"
 
+	"gorseledge/internal/fleetkey"
 	"gorseledge/internal/peers"
 	"gorseledge/internal/strict"
 )
 
 const (
-	leastKey    = 16 // bytes
 	leastPeriod = 0.05
 	mostPeriod  = 60.0
 	usualPeriod = 1.0
@@ -59,11 +58,7 @@
 	if where, err := c.check(); err != nil {
 		return c, where.Wrong(path, text, err)
 	}
-	for _, key := range []string{c.Key, c.OldKey} {
-		if raw, _ := hex.DecodeString(key); len(raw) > 0 {
-			c.keys = append(c.keys, raw)
-		}
-	}
+	c.keys, _ = fleetkey.Decode(c.Key, c.OldKey)
 	return c, nil
 }
 
@@ -102,13 +97,8 @@
 			}
 		}
 	}
-	for _, k := range []struct {
-		name, text string
-		needed     bool
-	}{{"key", c.Key, true}, {"old_key", c.OldKey, false}} {
-		if raw, err := hex.DecodeString(k.text); err != nil || len(raw) < leastKey && (k.needed || len(raw) > 0) {
-			return top(k.name), fmt.Errorf("%s: wanted %d hexadecimal bytes or more", k.name, leastKey)
-		}
+	if _, err := fleetkey.Decode(c.Key, c.OldKey); err != nil {
+		return top(err.Setting), err
 	}
 	return strict.Place{}, nil
 }
