--- a/internal/configfeed/types.go
+++ b/internal/configfeed/types.go
@@ -68,6 +68,8 @@
 	Have     Version  `json:"have"`
 	Digest   Digest   `json:"digest,string"`
 	Refused  *Refusal `json:"refused,omitempty"`
+	Whole    bool     `json:"whole,omitempty"` // a delta did not fit: a snapshot is wanted
+	Newest   Version  `json:"newest,omitzero"` // of all that the follower was told or shown
 	Wait     float64  `json:"wait_s"`
 }
 
@@ -83,21 +85,24 @@
 	Diverged  UpdateKind = "diverged"  // the same version with another digest: one of the two was restored
 )
 
-// Update answers a Poll. Version is the newest one that the server has.
+// Update answers a Poll. Version is the newest one that the server has. A follower that is a server gets Revisions in
+// place of Deltas, so that it can tell the history too.
 type Update struct {
-	Kind    UpdateKind `json:"kind"`
-	Server  string     `json:"server"`
-	Version Version    `json:"version"`
-	Deltas  []Delta    `json:"deltas,omitempty"`
-	State   *State     `json:"state,omitempty"`
+	Kind      UpdateKind `json:"kind"`
+	Server    string     `json:"server"`
+	Version   Version    `json:"version"`
+	Deltas    []Delta    `json:"deltas,omitempty"`
+	Revisions []Revision `json:"revisions,omitempty"`
+	State     *State     `json:"state,omitempty"`
 }
 
 // Revision is one entry of the history: what a change did, when and at whose request.
 type Revision struct {
-	Delta  Delta   `json:"delta"`
-	At     float64 `json:"at_s"` // Unix time at the writer
-	Author string  `json:"author"`
-	Note   string  `json:"note,omitempty"`
+	Delta    Delta   `json:"delta"`
+	At       float64 `json:"at_s"` // Unix time at the writer
+	Author   string  `json:"author"`
+	Note     string  `json:"note,omitempty"`
+	Proposal string  `json:"proposal,omitempty"` // ID of the proposal
 }
 
 // Proposal asks the writer for a new revision with these entries in place of all those before. It is taken only while
@@ -119,7 +124,7 @@
 	Conflict  OutcomeKind = "conflict"   // the newest version is another one: Outcome.Version
 	NoChange  OutcomeKind = "no_change"  // the entries are those of the newest version
 	NotWriter OutcomeKind = "not_writer" // Outcome.Writer takes proposals
-	NotReady  OutcomeKind = "not_ready"  // the writer has not heard a majority of the servers since its start, or knows of a newer version
+	NotReady  OutcomeKind = "not_ready"  // Outcome.Detail says why: see Server.Propose
 	TooLarge  OutcomeKind = "too_large"
 	Failed    OutcomeKind = "failed" // the disk did not take it; whether it is kept is not known
 )
