The follower of the control servers over HTTP

Nodes and hollow nodes are to follow the control servers. feedhttp.Follower runs the core with one goroutine and one for the poll that it holds open, over net/http with a connection that is kept; requests and answers carry a keyed MAC, and the answer's covers the nonce of its request. Traffic counts requests, answers and bytes.

--- /dev/null
+++ b/internal/configfeed/feedhttp/follower.go
@@ -0,0 +1,118 @@
+package feedhttp
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"gorseledge/internal/configfeed"
+)
+
+const (
+	maxReasonBytes = 200 // of a refusal, which goes along with every poll
+	maxLoggedKeys  = 16  // of those that a state changes
+)
+
+// FollowerOptions are what a follower is made of.
+type FollowerOptions struct {
+	Fleet  string                    // id of the fleet
+	Keys   [][]byte                  // of the fleet; the first one signs
+	Config configfeed.FollowerConfig // name, servers and times
+	Via    map[string]string         // where a server's address is reached, if that is elsewhere
+	Log    zerolog.Logger
+	// Install puts a state in force; changed holds the keys that differ from the one before. Where it fails, the state
+	// is refused, and the error's text is shown to operators. It runs on the follower's goroutine.
+	Install func(state configfeed.State, changed []string) error
+	Have    configfeed.State // in force already; zero for none
+}
+
+// Follower keeps the configuration of one node up to date from the control servers. It takes one goroutine, and another
+// and a connection for the poll that it holds open.
+type Follower struct {
+	options FollowerOptions
+	core    *configfeed.Follower
+	loop    *loop[configfeed.FollowerEffect]
+	poller  *poller
+	view    atomic.Pointer[configfeed.FollowerView]
+}
+
+// NewFollower gives a follower that does nothing until it runs.
+func NewFollower(o FollowerOptions) *Follower {
+	f := &Follower{options: o}
+	clock := newClock()
+	f.core = configfeed.NewFollower(clock.now(), o.Config, o.Have)
+	f.loop = newLoop(clock, f.core, f.carryOut, f.publish)
+	caller := newCaller(&authenticator{fleet: o.Fleet, keys: o.Keys}, o.Via)
+	f.poller = newPoller(caller, o.Log, f.polled)
+	f.publish(clock.now())
+	return f
+}
+
+// Run follows until the context ends, and gives its error then. It can be called once.
+func (f *Follower) Run(ctx context.Context) error {
+	f.loop.run(ctx)
+	f.poller.stop()
+	return ctx.Err()
+}
+
+// View tells what the follower knows. It can be called from any goroutine.
+func (f *Follower) View() configfeed.FollowerView { return *f.view.Load() }
+
+// Traffic tells what the follower has sent and received. It can be called from any goroutine.
+func (f *Follower) Traffic() Traffic { return f.poller.caller.traffic.read() }
+
+func (f *Follower) publish(float64) {
+	view := f.core.View()
+	f.view.Store(&view)
+}
+
+// polled takes the end of a poll on the poll's goroutine.
+func (f *Follower) polled(request uint64, u configfeed.Update, err error) {
+	f.loop.post(func(now float64) []configfeed.FollowerEffect {
+		switch {
+		case !f.poller.finish(request):
+			return nil
+		case err != nil:
+			return f.core.Failed(now, request)
+		}
+		return f.core.Answered(now, request, u)
+	})
+}
+
+func (f *Follower) carryOut(e configfeed.FollowerEffect) []configfeed.FollowerEffect {
+	switch e := e.(type) {
+	case configfeed.SendPoll:
+		f.poller.send(e)
+	case configfeed.CancelPoll:
+		f.poller.cancel(e.Request)
+	case configfeed.Install:
+		return f.install(e)
+	}
+	return nil
+}
+
+// install puts a state in force and reports to the core.
+func (f *Follower) install(e configfeed.Install) []configfeed.FollowerEffect {
+	version := e.State.Version
+	line := f.options.Log.Info()
+	err := f.options.Install(e.State, e.Changed)
+	if err != nil {
+		line = f.options.Log.Warn().Err(err)
+	}
+	line.Uint64("epoch", version.Epoch).Uint64("revision", version.Revision).Int("changed", len(e.Changed)).
+		Strs("keys", e.Changed[:min(len(e.Changed), maxLoggedKeys)]).
+		Bool("in_force", err == nil).Msg("configuration")
+	now := f.loop.clock.now()
+	if err != nil {
+		return f.core.Refuse(now, configfeed.Refusal{Version: version, Reason: oneLine(err.Error())})
+	}
+	return f.core.Installed(now, version)
+}
+
+// oneLine gives a text as one short line.
+func oneLine(text string) string {
+	text = strings.Join(strings.Fields(text), " ")
+	return strings.ToValidUTF8(text[:min(len(text), maxReasonBytes)], "")
+}
