--- a/internal/configfeed/feedhttp/caller.go
+++ b/internal/configfeed/feedhttp/caller.go
@@ -19,13 +19,13 @@
 	maxAnswerHeadSize = 8 << 10
 )
 
-// statusError is an answer that is no success.
-type statusError struct {
-	code int
-	text string
+// StatusError is an answer by which a server refuses a request itself: Code is HTTP's, Text one line.
+type StatusError struct {
+	Code int
+	Text string
 }
 
-func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.code, e.text) }
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Code, e.Text) }
 
 var errAnswerTooLarge = fmt.Errorf("an answer of more than %d bytes", maxAnswerBytes)
 
@@ -45,7 +45,7 @@
 	return c
 }
 
-// call sends a request to an address and gives the body of its answer. The error is a *statusError where the server
+// call sends a request to an address and gives the body of its answer. The error is a *StatusError where the server
 // answered that it will not do what was asked.
 func (c *caller) call(ctx context.Context, address, method, target string, body []byte) ([]byte, error) {
 	if via, found := c.via[address]; found {
@@ -71,7 +71,7 @@
 		return nil, errAnswerTooLarge
 	case answer.StatusCode != http.StatusOK:
 		line, _, _ := strings.Cut(strings.TrimSpace(string(text)), "\n")
-		return nil, &statusError{code: answer.StatusCode, text: line[:min(len(line), maxErrorBytes)]}
+		return nil, &StatusError{Code: answer.StatusCode, Text: line[:min(len(line), maxErrorBytes)]}
 	case c.authenticator.checkAnswer(request, nonce, answer, text) != accepted:
 		return nil, errors.New("the answer is not authentic")
 	}
--- /dev/null
+++ b/internal/configfeed/feedhttp/metrics.go
@@ -0,0 +1,79 @@
+package feedhttp
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+// serverCounts are the counts of a server since its start.
+type serverCounts struct {
+	polls, applies atomic.Uint64
+
+	mu         sync.Mutex
+	rejections map[rejection]int
+}
+
+// rejected counts a request that is not authentic, and gives how many there were of that reason.
+func (c *serverCounts) rejected(why rejection) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rejections == nil {
+		c.rejections = map[rejection]int{}
+	}
+	c.rejections[why]++
+	return c.rejections[why]
+}
+
+// write gives the counts, one a line.
+func (c *serverCounts) write(w io.Writer) {
+	fmt.Fprintf(w, "control.polls:%d|c\n", c.polls.Load())
+	fmt.Fprintf(w, "control.applies:%d|c\n", c.applies.Load())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, why := range []rejection{wrongFleet, wrongNonce, wrongMAC} {
+		fmt.Fprintf(w, "control.rejected.%s:%d|c\n", why, c.rejections[why])
+	}
+}
+
+// ready tells operators' tools whether this server does what it is there for.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	status, err := s.currentStatus()
+	switch {
+	case err != nil:
+		http.Error(w, "not ready: stopping", http.StatusServiceUnavailable)
+	case status.NotReady != "":
+		http.Error(w, "not ready: "+status.NotReady, http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "yes")
+	}
+}
+
+// metrics gives counts since the start, and gauges, in the form of a node's.
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	var held int
+	if err := s.inquire(func(float64) { held = len(s.polls) }); err != nil {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	status, err := s.currentStatus()
+	if err != nil {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	s.counts.write(w)
+	gauge := func(name string, value uint64) { fmt.Fprintf(w, "control.%s:%d|g\n", name, value) }
+	gauge("epoch", status.Version.Epoch)
+	gauge("revision", status.Version.Revision)
+	gauge("polls_held", uint64(held))
+	gauge("followers", uint64(len(status.Followers)))
+	refused := uint64(0)
+	for _, follower := range status.Followers {
+		if follower.Refused != nil {
+			refused++
+		}
+	}
+	gauge("followers_refused", refused)
+}
--- /dev/null
+++ b/internal/configfeed/feedhttp/observer.go
@@ -0,0 +1,66 @@
+package feedhttp
+
+import (
+	"github.com/rs/zerolog"
+
+	"gorseledge/internal/configfeed"
+)
+
+const observerInterval = 1.0 // seconds between two looks at a server's status
+
+// observer writes what a server does and how it stands to the log, a line for each change.
+type observer struct {
+	log      zerolog.Logger
+	majority int // of the servers
+	next     float64
+	looked   bool
+	notReady string // at the last look
+	heard    bool   // a majority of the servers has been heard
+}
+
+// due tells whether it is time for another look.
+func (o *observer) due(now float64) bool { return now >= o.next }
+
+// look compares a status with the last one.
+func (o *observer) look(now float64, status configfeed.ServerStatus) {
+	o.next = now + observerInterval
+	heard := 1 // this server itself
+	for _, peer := range status.Peers {
+		if peer.Name != status.Name && peer.Heard > 0 {
+			heard++
+		}
+	}
+	if !o.heard && heard >= o.majority {
+		o.heard = true
+		o.log.Info().Int("heard", heard).Int("majority", o.majority).Msg("a majority of the servers is heard")
+	}
+	if o.looked && status.NotReady == o.notReady {
+		return
+	}
+	o.looked, o.notReady = true, status.NotReady
+	switch {
+	case status.Name != status.Writer:
+		o.log.Info().Str("writer", status.Writer).Msg("follows the writer")
+	case status.NotReady != "":
+		o.log.Warn().Str("why", status.NotReady).Msg("takes no proposals")
+	default:
+		o.log.Info().Msg("takes proposals")
+	}
+}
+
+// saved notes what has become of a save. It is called by the goroutine that saves.
+func (o *observer) saved(save configfeed.Save, err error) {
+	version := save.State.Version
+	if err != nil {
+		o.log.Error().Err(err).Uint64("epoch", version.Epoch).Uint64("revision", version.Revision).Msg("not saved")
+		return
+	}
+	for _, r := range save.Revisions {
+		o.log.Info().Uint64("epoch", r.Delta.To.Epoch).Uint64("revision", r.Delta.To.Revision).Str("author", r.Author).
+			Str("note", r.Note).Int("set", len(r.Delta.Set)).Int("deleted", len(r.Delta.Delete)).Msg("revision")
+	}
+	if len(save.Revisions) == 0 {
+		o.log.Info().Uint64("epoch", version.Epoch).Uint64("revision", version.Revision).Int("entries", len(save.State.Entries)).
+			Msg("snapshot in place of the log")
+	}
+}
--- /dev/null
+++ b/internal/configfeed/feedstore/feedstore_test.go
@@ -0,0 +1,211 @@
+package feedstore
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gorseledge/internal/configfeed"
+)
+
+// writer makes the revisions of a test, each of which sets one key.
+type writer struct {
+	t     *testing.T
+	state configfeed.State
+}
+
+// next gives the next revision and the state after it.
+func (w *writer) next() (configfeed.State, configfeed.Revision) {
+	w.t.Helper()
+	to := w.state.Version
+	to.Epoch, to.Revision = max(to.Epoch, 1), to.Revision+1
+	entries := []configfeed.Entry{{Key: "key", Value: fmt.Sprint(to.Revision)}}
+	state, err := configfeed.NewState(to, entries)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r := configfeed.Revision{Delta: configfeed.Delta{From: w.state.Version, To: to, Set: entries, Digest: state.Digest},
+		At: float64(to.Revision), Author: "test", Note: "a note", Proposal: fmt.Sprint("p", to.Revision)}
+	w.state = state
+	return state, r
+}
+
+func openStore(t *testing.T, directory string) (*Store, configfeed.Stored) {
+	t.Helper()
+	store, stored, err := Open(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { store.Close() })
+	return store, stored
+}
+
+// save saves that many revisions, one by one.
+func (w *writer) save(store *Store, count int) {
+	w.t.Helper()
+	for range count {
+		state, r := w.next()
+		if err := store.Save(state, []configfeed.Revision{r}); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
+func TestWhatIsSavedIsThereAfterReopening(t *testing.T) {
+	directory := t.TempDir()
+	store, stored := openStore(t, directory)
+	if stored.State.Version != (configfeed.Version{}) || len(stored.History) != 0 {
+		t.Fatalf("a new log holds %+v", stored)
+	}
+	w := &writer{t: t}
+	w.save(store, 3)
+	second, r2 := w.next()
+	third, r3 := w.next()
+	_ = second
+	if err := store.Save(third, []configfeed.Revision{r2, r3}); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	_, stored = openStore(t, directory)
+	if !reflect.DeepEqual(stored.State, third) || len(stored.History) != 5 || !reflect.DeepEqual(stored.History[4], r3) {
+		t.Fatalf("%+v, wanted %+v", stored, third)
+	}
+}
+
+func TestRevisionsThatDoNotLeadOnAreRefused(t *testing.T) {
+	store, _ := openStore(t, t.TempDir())
+	w := &writer{t: t}
+	w.save(store, 2)
+	w.next()
+	state, r := w.next() // without the one before
+	if err := store.Save(state, []configfeed.Revision{r}); err == nil {
+		t.Error("a revision was saved without the one before it")
+	}
+}
+
+func TestEarlierStatesAreReachedBackToTheBase(t *testing.T) {
+	directory := t.TempDir()
+	store, _ := openStore(t, directory)
+	w := &writer{t: t}
+	w.save(store, 4)
+	at := func(revision uint64) (configfeed.State, error) {
+		return store.At(configfeed.Version{Epoch: 1, Revision: revision})
+	}
+	for revision := uint64(1); revision <= 4; revision++ {
+		if state, err := at(revision); err != nil || state.Entries[0].Value != fmt.Sprint(revision) {
+			t.Errorf("revision %d: %+v, %v", revision, state, err)
+		}
+	}
+	if _, err := at(5); !errors.Is(err, ErrOutOfReach) {
+		t.Errorf("a revision to come: %v", err)
+	}
+	// A snapshot takes the place of the log: what came before it can no longer be played.
+	for range 6 {
+		w.next()
+	}
+	if err := store.Save(w.state, nil); err != nil {
+		t.Fatal(err)
+	}
+	w.save(store, 1)
+	for revision, reached := range map[uint64]bool{4: false, 9: false, 10: true, 11: true} {
+		if _, err := at(revision); errors.Is(err, ErrOutOfReach) == reached {
+			t.Errorf("revision %d after a snapshot: %v", revision, err)
+		}
+	}
+	store.Close()
+	if _, stored := openStore(t, directory); !reflect.DeepEqual(stored.State, w.state) || len(stored.History) != 5 {
+		t.Errorf("%+v, wanted %+v and 5 revisions", stored, w.state)
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	if testing.Short() {
+		t.Skip("thousands of synced writes")
+	}
+	directory := t.TempDir()
+	store, _ := openStore(t, directory)
+	w := &writer{t: t}
+	w.save(store, 1)
+	var added []configfeed.Revision
+	for range configfeed.HistoryRevisions + 2*foldRevisions {
+		_, r := w.next()
+		added = append(added, r)
+		if len(added) == foldRevisions {
+			if err := store.Save(w.state, added); err != nil {
+				t.Fatal(err)
+			}
+			added = nil
+		}
+	}
+	store.Close()
+	store, stored := openStore(t, directory)
+	if len(stored.History) != configfeed.HistoryRevisions || !reflect.DeepEqual(stored.State, w.state) {
+		t.Fatalf("%d revisions, %+v, wanted %+v", len(stored.History), stored.State, w.state)
+	}
+	if last := stored.History[len(stored.History)-1]; last.Delta.To != w.state.Version {
+		t.Errorf("the last revision is %+v", last.Delta.To)
+	}
+	if _, err := store.At(configfeed.Version{Epoch: 1, Revision: 1}); !errors.Is(err, ErrOutOfReach) {
+		t.Errorf("a revision that was folded: %v", err)
+	}
+	if _, err := store.At(stored.History[0].Delta.To); err != nil {
+		t.Errorf("the oldest revision that is kept: %v", err)
+	}
+}
+
+func TestASecondProcessIsToldThatTheFileIsOpen(t *testing.T) {
+	directory := t.TempDir()
+	openStore(t, directory)
+	if _, _, err := Open(directory); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("%v", err)
+	}
+}
+
+// fileOfRevisions gives the bytes of a log.
+func fileOfRevisions(t *testing.T, count int) []byte {
+	t.Helper()
+	directory := t.TempDir()
+	store, _ := openStore(t, directory)
+	(&writer{t: t}).save(store, count)
+	store.Close()
+	text, err := os.ReadFile(filepath.Join(directory, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// openBytes opens a log of these bytes.
+func openBytes(t *testing.T, text []byte) (configfeed.Stored, error) {
+	t.Helper()
+	directory := t.TempDir()
+	path := filepath.Join(directory, fileName)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	store, stored, err := Open(directory)
+	if err == nil {
+		store.Close()
+	} else if !strings.Contains(err.Error(), path) || strings.Contains(err.Error(), "\n") {
+		t.Errorf("not one line that names the file: %v", err)
+	}
+	return stored, err
+}
+
+func TestAFileThatIsCutShortIsAnError(t *testing.T) {
+	text := fileOfRevisions(t, 40)
+	whole, err := openBytes(t, text)
+	if err != nil || len(whole.History) != 40 {
+		t.Fatalf("%d revisions, %v", len(whole.History), err)
+	}
+	page := os.Getpagesize()
+	for size := 1; size < len(text); size += page / 2 {
+		if stored, err := openBytes(t, text[:size]); err == nil && !reflect.DeepEqual(stored, whole) {
+			t.Errorf("%d of %d bytes were taken for %d revisions", size, len(text), len(stored.History))
+		}
+	}
+}
