Configuration distribution: the core, and a fleet of full size on the virtual clock

Cause: a change has to be in force at 860 nodes within 6 s, also in the midst of faults. Change: a follower polls one server at a time; the first poll at a server is answered at once, so that a dead one costs a second. A server polls each other server, holds its followers' polls and answers them once a revision is on its disk. A server that ceases to reach a majority says so (Isolated), and its followers look elsewhere. A writer that wrote since its start takes nothing from others.

--- /dev/null
+++ b/internal/configfeed/fleet_test.go
@@ -0,0 +1,183 @@
+package configfeed
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+const (
+	fleetServers = 5
+	fleetNodes   = 860
+	zoneNodes    = 107
+	nodeBudget   = 15000 // bytes a second
+)
+
+// newFleet gives a fleet of full size with some settings in force.
+func newFleet(t testing.TB, seed uint64) *simulation {
+	s := newSimulation(seed, rules{})
+	s.raise(fleetServers, fleetNodes)
+	s.runFor(1)
+	p := s.edit("first")
+	for i := range 200 {
+		p.Entries = append(p.Entries, Entry{Key: fmt.Sprintf("setting.%03d", i), Value: `"a value of usual length"`})
+	}
+	s.propose(p, nil)
+	if took := s.lastInForce(inForceWithin); took > inForceWithin || len(s.yes) == 0 {
+		t.Fatalf("no state in force at the start: %v", s.writer().core.notReady())
+	}
+	return s
+}
+
+// TestFleetHasChangeInForceInTime plays each fault that is foreseen on a fleet of full size. A change is proposed in its
+// midst, and all nodes that can be reached have to have it in time.
+func TestFleetHasChangeInForceInTime(t *testing.T) {
+	restart := func(s *simulation, nodes []*simNode, within float64) {
+		for _, n := range nodes {
+			s.clock.After(s.random.Float64()*within, func() {
+				n.kill()
+				s.clock.After(1+s.random.Float64(), n.start)
+			})
+		}
+	}
+	cases := []struct {
+		name   string
+		before func(*simulation) // ahead of the change
+		during func(*simulation) // right after it was proposed
+	}{
+		{"at rest", func(*simulation) {}, func(*simulation) {}},
+		{"2% restarting", func(s *simulation) { restart(s, s.nodes[:fleetNodes/50], 3) }, func(*simulation) {}},
+		{"107 restarting at once", func(s *simulation) { restart(s, s.nodes[:zoneNodes], 0.01) }, func(*simulation) {}},
+		{"a server killed", func(*simulation) {}, func(s *simulation) { s.servers[1].kill() }},
+		{"a server stopped", func(*simulation) {}, func(s *simulation) { s.servers[3].stop() }},
+		{"the only server of a region stopped", func(*simulation) {}, func(s *simulation) { s.servers[4].stop() }},
+		{"a server cut off from the others", func(*simulation) {}, func(s *simulation) {
+			for _, other := range s.servers {
+				s.cut("c1", other.name, true)
+				s.cut(other.name, "c1", true)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFleet(t, 1)
+			c.before(s)
+			s.runFor(0.5)
+			s.propose(s.edit("change"), nil)
+			s.clock.After(latency+0.0015, func() { c.during(s) }) // the writer's disk has it, nobody else
+			took := s.lastInForce(30)
+			if len(s.yes) != 2 {
+				t.Fatal("the change was not accepted")
+			}
+			t.Logf("last in force after %.2f s", took)
+			if took > inForceWithin {
+				t.Errorf("last in force after %.2f s, want %g at most; behind: %.3v", took, inForceWithin,
+					s.behind(s.writer().disk.State.Version))
+			}
+			s.report(t)
+		})
+	}
+}
+
+// TestFleetHasChangeInForceAfterAllServersRestarted kills all servers as soon as a change is on the writer's disk, and
+// proposes another one from their start on until it is accepted.
+func TestFleetHasChangeInForceAfterAllServersRestarted(t *testing.T) {
+	s := newFleet(t, 2)
+	s.propose(s.edit("before"), nil)
+	s.runFor(latency + 0.0015)
+	for _, server := range s.servers {
+		server.kill()
+	}
+	s.runFor(5)
+	for _, server := range s.servers {
+		server.start()
+	}
+	var retry func(Outcome)
+	retry = func(o Outcome) {
+		if o.Kind != Accepted {
+			s.clock.After(0.1, func() { s.propose(s.edit("after"), retry) })
+		}
+	}
+	s.propose(s.edit("after"), retry)
+	took := s.lastInForce(30)
+	t.Logf("last in force %.2f s after the servers' start", took)
+	if took > inForceWithin {
+		t.Errorf("last in force after %.2f s; not ready: %q", took, s.writer().core.notReady())
+	}
+	if revision := s.writer().disk.State.Version.Revision; revision != 3 {
+		t.Errorf("revision %d, want 3 with the changes before and after", revision)
+	}
+	s.report(t)
+}
+
+func TestRegionHasChangeInForceInTimeAfterItsReturn(t *testing.T) {
+	for _, region := range []string{"south", "west"} {
+		t.Run(region, func(t *testing.T) {
+			s := newFleet(t, 3)
+			s.cutRegion(region, true)
+			s.runFor(20)
+			s.propose(s.edit("change"), nil)
+			s.runFor(40)
+			for _, n := range s.nodes {
+				if behind := n.state.Version != s.writer().disk.State.Version; behind != (n.region == region) {
+					t.Fatalf("%s of %s at %s while %s is cut off", n.name, n.region, n.state.Version, region)
+				}
+			}
+			s.cutRegion(region, false)
+			took := s.lastInForce(30)
+			t.Logf("last in force %.2f s after the return", took)
+			if took > inForceWithin {
+				t.Errorf("last in force after %.2f s", took)
+			}
+			s.report(t)
+		})
+	}
+}
+
+func TestFleetStaysInsideBudgetOfBytes(t *testing.T) {
+	s := newFleet(t, 4)
+	measure := func(name string, seconds float64) {
+		for _, n := range s.nodes {
+			n.bytes = 0
+		}
+		s.runFor(seconds)
+		most, sum := 0, 0
+		for _, n := range s.nodes {
+			most, sum = max(most, n.bytes), sum+n.bytes
+		}
+		t.Logf("%s: %.0f bytes a second and node, most %.0f", name, float64(sum)/seconds/fleetNodes,
+			float64(most)/seconds)
+		if float64(most)/seconds > nodeBudget {
+			t.Errorf("%s: %.0f bytes a second at a node, want %d at most", name, float64(most)/seconds, nodeBudget)
+		}
+	}
+	measure("at rest", 60)
+	for i := range 10 { // ten changes in ten seconds
+		s.clock.After(float64(i), func() { s.propose(s.edit(fmt.Sprint("burst", i)), nil) })
+	}
+	measure("ten changes in ten seconds", 10)
+	s.cutRegion("west", true)
+	measure("a region cut off", 60)
+	s.report(t)
+}
+
+// TestFollowersReturnToTheirRegion shows that the load of a region that lost a server for a while is spread again.
+func TestFollowersReturnToTheirRegion(t *testing.T) {
+	s := newFleet(t, 5)
+	s.servers[1].kill()
+	s.servers[4].kill()
+	s.runFor(20)
+	s.servers[1].start()
+	s.servers[4].start()
+	s.runFor(120)
+	served := map[string]int{}
+	for _, n := range s.nodes {
+		served[n.core.View().Server]++
+		if server := s.servers[slices.IndexFunc(s.servers, func(c *simServer) bool {
+			return c.name == n.core.View().Server
+		})]; server.region != n.region {
+			t.Errorf("%s of %s still follows %s of %s", n.name, n.region, server.name, server.region)
+		}
+	}
+	t.Logf("nodes by server: %v", served)
+}
--- a/internal/configfeed/follower.go
+++ b/internal/configfeed/follower.go
@@ -1,5 +1,23 @@
 package configfeed
 
+import (
+	"cmp"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// Times of a follower, in seconds.
+const (
+	DefaultWait    = 2.0
+	answerTime     = 1.0  // for an answer, beyond the time that the server may hold it back
+	startSpread    = 0.2  // a fleet that starts together does not poll together
+	shortestReturn = 15.0 // until the preferred server is tried again; doubles each time that it fails
+	longestReturn  = 300.0
+	returnVariance = 0.5
+)
+
 // ServerAddress is a control server: its name, where it is reached, and its region.
 type ServerAddress struct{ Name, Address, Region string }
 
@@ -25,30 +43,276 @@
 	Newest    Version // that any server told of
 }
 
-// Follower keeps one state up to date from the control servers.
-type Follower struct{ config FollowerConfig }
+// openPoll is a poll that is not answered yet.
+type openPoll struct {
+	request        uint64
+	have           Version
+	wait           float64
+	sent, deadline float64
+}
+
+// Follower keeps one state up to date from the control servers. After each call, Next says anew when Tick is due.
+// It has one poll open at one server at a time. The first
+// poll at a server is to be answered at once, so that a dead server costs little time; the next ones are held back
+// there until something is new.
+type Follower struct {
+	config   FollowerConfig
+	random   *rand.Rand
+	requests *uint64 // given out so far
+	rules    rules
+
+	state      State
+	since      float64
+	heard      float64
+	newest     Version
+	refused    *Refusal
+	whole      bool // a delta did not fit
+	poll       *openPoll
+	installing *Install
+
+	current     int     // index of the server that is polled
+	reached     bool    // it answered the last poll
+	silent      bool    // no answer came to the last poll
+	failures    int     // in a row
+	pollAt      float64 // when the next poll goes out
+	returnAt    float64 // when the preferred server is tried again
+	returnAfter float64
+}
+
+// NewFollower gives a follower that has a state already, or the zero State. A state that is not of its own digest is
+// not used.
+func NewFollower(now float64, c FollowerConfig, have State) *Follower {
+	c.Wait = cmp.Or(c.Wait, DefaultWait)
+	c.Timeout = cmp.Or(c.Timeout, c.Wait+answerTime)
+	if have.Verify() != nil {
+		have = State{}
+	}
+	random := rand.New(rand.NewPCG(c.Seed, 17))
+	c.Servers = preferred(c.Servers, c.Region, random)
+	return &Follower{config: c, random: random, requests: new(uint64), state: have, since: now, newest: have.Version,
+		pollAt: now + random.Float64()*startSpread, returnAt: math.Inf(1), returnAfter: shortestReturn}
+}
 
-// NewFollower gives a follower that has a state already, or the zero State.
-func NewFollower(now float64, c FollowerConfig, have State) *Follower { return &Follower{config: c} }
+// preferred gives the servers in the order in which a follower tries them: those of its region first, each part in an
+// order that is drawn.
+func preferred(servers []ServerAddress, region string, random *rand.Rand) []ServerAddress {
+	order := slices.Clone(servers)
+	random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	abroad := func(s ServerAddress) int {
+		if s.Region == region {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(order, func(a, b ServerAddress) int { return cmp.Compare(abroad(a), abroad(b)) })
+	return order
+}
 
 // Next is when Tick is due.
-func (f *Follower) Next() float64 { return 0 }
+func (f *Follower) Next() float64 {
+	switch {
+	case len(f.config.Servers) == 0 || f.installing != nil:
+		return math.Inf(1)
+	case f.poll != nil:
+		return f.poll.deadline
+	}
+	return f.pollAt
+}
 
 // Tick does what is due.
-func (f *Follower) Tick(now float64) []FollowerEffect { return nil }
+func (f *Follower) Tick(now float64) []FollowerEffect {
+	var effects []FollowerEffect
+	if f.poll != nil && now >= f.poll.deadline {
+		effects = append(effects, CancelPoll{f.poll.request})
+		f.unanswered(now)
+	}
+	if now >= f.Next() && f.poll == nil {
+		effects = append(effects, f.send(now))
+	}
+	return effects
+}
 
-// Answered takes the answer to a poll.
-func (f *Follower) Answered(now float64, request uint64, u Update) []FollowerEffect { return nil }
+// send opens a poll at the server whose turn it is.
+func (f *Follower) send(now float64) SendPoll {
+	if now >= f.returnAt && f.current != 0 {
+		f.current, f.reached = 0, false
+	}
+	p := Poll{Follower: f.config.Name, Server: f.config.Server, Region: f.config.Region, Have: f.state.Version,
+		Digest: f.state.Digest, Refused: f.refused, Whole: f.whole, Newest: f.newest}
+	timeout := f.config.Timeout
+	if f.reached {
+		p.Wait = f.config.Wait
+	} else if !f.patient() {
+		timeout -= f.config.Wait
+	}
+	*f.requests++
+	f.poll = &openPoll{request: *f.requests, have: p.Have, wait: p.Wait, sent: now, deadline: now + timeout}
+	return SendPoll{Request: f.poll.request, Server: f.config.Servers[f.current], Poll: p, Timeout: timeout}
+}
+
+// patient tells whether the first poll at a server may take as long as any: its answer may be large. After failures all
+// around that is drawn, as a server that can't be reached looks like one that needs longer.
+func (f *Follower) patient() bool {
+	if f.state.Version == (Version{}) || f.whole {
+		return true
+	}
+	return f.failures >= len(f.config.Servers) && f.random.IntN(4) == 0
+}
 
 // Failed takes that a poll got no answer.
-func (f *Follower) Failed(now float64, request uint64) []FollowerEffect { return nil }
+func (f *Follower) Failed(now float64, request uint64) []FollowerEffect {
+	if f.awaits(request) {
+		f.unanswered(now)
+	}
+	return f.Tick(now)
+}
+
+// awaits tells whether a request is the open poll.
+func (f *Follower) awaits(request uint64) bool { return f.poll != nil && f.poll.request == request }
+
+// unanswered gives the open poll up.
+func (f *Follower) unanswered(now float64) {
+	f.poll = nil
+	f.silent = true
+	f.moveOn(now)
+}
+
+// moveOn has the next poll go to the next server after a while.
+func (f *Follower) moveOn(now float64) {
+	if f.current == 0 {
+		f.returnAfter = min(2*f.returnAfter, longestReturn)
+		f.returnAt = math.Inf(1)
+	}
+	f.current = (f.current + 1) % len(f.config.Servers)
+	f.retry(now)
+	f.reached = false
+}
+
+// retry has the next poll go out after a while.
+func (f *Follower) retry(now float64) {
+	f.failures++
+	f.pollAt = now + backoff(f.random, f.failures)
+}
+
+// stay has the next poll go to the same server at once.
+func (f *Follower) stay(now float64) {
+	f.failures, f.reached, f.pollAt = 0, true, now
+	if f.current == 0 {
+		f.returnAfter, f.returnAt = shortestReturn, math.Inf(1)
+	} else if math.IsInf(f.returnAt, 1) {
+		f.returnAt = now + f.returnAfter*(1+returnVariance*(f.random.Float64()-0.5))
+	}
+}
+
+// Answered takes the answer to a poll. The answer to a poll that was given up is ignored.
+func (f *Follower) Answered(now float64, request uint64, u Update) []FollowerEffect {
+	if !f.awaits(request) {
+		return f.Tick(now)
+	}
+	poll := f.poll
+	f.poll, f.silent, f.heard = nil, false, now
+	f.newest = newest(f.newest, u.Version)
+	switch {
+	case u.Kind == Changes || u.Kind == Snapshot:
+		if install := f.take(now, poll, u); install != nil {
+			f.installing = install
+			return []FollowerEffect{*install}
+		}
+	case u.Kind != Unchanged || u.Isolated:
+		f.moveOn(now)
+	case now-poll.sent < poll.wait/2: // sooner than agreed: another process polls under this name
+		f.retry(now)
+	default:
+		f.stay(now)
+	}
+	return f.Tick(now)
+}
+
+// take gives what is to be put in force after an update, or nil and when to poll again.
+func (f *Follower) take(now float64, poll *openPoll, u Update) *Install {
+	if poll.have != f.state.Version { // moved on meanwhile by another way
+		f.stay(now)
+		return nil
+	}
+	next, err := f.next(u)
+	switch {
+	case errors.Is(err, ErrMisfit) && u.Kind == Changes:
+		f.whole = true
+		f.retry(now)
+		return nil
+	case err != nil, !f.rules.mayReplace(f.state.Version, next.Version), f.refuses(next.Version):
+		f.moveOn(now)
+		return nil
+	}
+	f.stay(now)
+	return &Install{State: next, Changed: changedKeys(f.state.Entries, next.Entries), revisions: u.Revisions}
+}
+
+// next gives the state that an update leads to.
+func (f *Follower) next(u Update) (State, error) {
+	if u.Kind == Snapshot {
+		if u.State == nil {
+			return State{}, ErrMisfit
+		}
+		return *u.State, f.rules.verify(*u.State)
+	}
+	deltas := slices.Clone(u.Deltas)
+	for _, r := range u.Revisions {
+		deltas = append(deltas, r.Delta)
+	}
+	if len(deltas) == 0 {
+		return State{}, ErrMisfit
+	}
+	next := f.state
+	for _, d := range deltas {
+		var err error
+		if next, err = f.rules.apply(next, d); err != nil {
+			return State{}, err
+		}
+	}
+	return next, f.rules.verify(next)
+}
+
+// refuses tells whether a version was refused.
+func (f *Follower) refuses(v Version) bool { return f.refused != nil && f.refused.Version == v }
 
 // Installed takes that the caller has put the state of an Install in force. Only then the next poll goes out, so that
 // the version of a poll is in force.
-func (f *Follower) Installed(now float64, v Version) []FollowerEffect { return nil }
+func (f *Follower) Installed(now float64, v Version) []FollowerEffect {
+	if f.installing != nil && f.installing.State.Version == v {
+		f.adopt(now, f.installing.State)
+	}
+	return f.Tick(now)
+}
 
-// Refuse takes that the caller could not put a state in force.
-func (f *Follower) Refuse(now float64, r Refusal) []FollowerEffect { return nil }
+// adopt takes a state that is in force.
+func (f *Follower) adopt(now float64, s State) {
+	f.state, f.since, f.newest = s, now, newest(f.newest, s.Version)
+	f.refused, f.whole, f.installing = nil, false, nil
+}
+
+// Refuse takes that the caller could not put a state in force. The follower keeps the one that it has and does not ask
+// for the refused version again; the servers are told of it.
+func (f *Follower) Refuse(now float64, r Refusal) []FollowerEffect {
+	if f.installing != nil && f.installing.State.Version == r.Version {
+		r.Reason = r.Reason[:min(len(r.Reason), MaxReasonBytes)]
+		f.refused, f.installing, f.whole = &r, nil, false
+	}
+	return f.Tick(now)
+}
+
+// abandon drops a state that was to be put in force, without blame; the next poll goes out after a while.
+func (f *Follower) abandon(now float64) {
+	f.installing = nil
+	f.retry(now)
+}
 
 // View tells what the follower knows.
-func (f *Follower) View() FollowerView { return FollowerView{} }
+func (f *Follower) View() FollowerView {
+	v := FollowerView{Version: f.state.Version, Digest: f.state.Digest, Since: f.since, LastHeard: f.heard,
+		Refused: f.refused, Newest: f.newest}
+	if len(f.config.Servers) > 0 {
+		v.Server = f.config.Servers[f.current].Name
+	}
+	return v
+}
--- /dev/null
+++ b/internal/configfeed/rules.go
@@ -0,0 +1,32 @@
+package configfeed
+
+// rules are the rules of safety. The zero value is in use; only tests switch single rules off, to show that their
+// checkers fire.
+type rules struct {
+	takeOlder       bool // a follower replaces its version by any other
+	skipDigest      bool // a follower takes deltas and snapshots without looking at digests and where deltas start
+	answerUnsaved   bool // a proposal is accepted before it is saved
+	skipMajority    bool // the writer does not wait for the other servers' versions
+	forgetProposals bool // a repeated proposal is applied again
+}
+
+// mayReplace tells whether a version in force may be replaced by another.
+func (r rules) mayReplace(have, next Version) bool {
+	return next.Epoch <= MaxEpoch && (next.Compare(have) > 0 || r.takeOlder && next != have)
+}
+
+// verify tells whether a state is what its digest says.
+func (r rules) verify(s State) error {
+	if r.skipDigest {
+		return nil
+	}
+	return s.Verify()
+}
+
+// apply gives a state after a delta, without the check of the digest.
+func (r rules) apply(s State, d Delta) (State, error) {
+	if r.skipDigest {
+		s.Version = d.From
+	}
+	return s.apply(d)
+}
--- a/internal/configfeed/server.go
+++ b/internal/configfeed/server.go
@@ -1,8 +1,10 @@
 package configfeed
 
-// HistoryRevisions is how many revisions a server keeps. A follower that is further behind gets a snapshot, and a
-// proposal that is repeated after so many others is not recognised.
-const HistoryRevisions = 2048
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // ServerConfig is what a server is told at its start. Servers are all of them, this one included.
 type ServerConfig struct {
@@ -20,10 +22,12 @@
 
 // PeerStatus is what a server knows of another one.
 type PeerStatus struct {
-	Name   string  `json:"name"`
-	Region string  `json:"region,omitempty"`
-	Have   Version `json:"have"`
-	Heard  float64 `json:"heard_s"` // Unix time of its last poll or answer; zero for never since the start
+	Name     string  `json:"name"`
+	Region   string  `json:"region,omitempty"`
+	Have     Version `json:"have"`
+	Heard    float64 `json:"heard_s"`            // Unix time of its last poll or answer; zero for never since the start
+	Silent   bool    `json:"silent,omitempty"`   // it did not answer this server's last poll
+	Diverged bool    `json:"diverged,omitempty"` // it has other entries under a version that this server has too
 }
 
 // ServerStatus is what a server shows to operators.
@@ -34,49 +38,118 @@
 	Version   Version          `json:"version"`
 	Digest    Digest           `json:"digest,string"`
 	Newest    Version          `json:"newest"`              // that any server or follower has shown
+	Isolated  bool             `json:"isolated,omitempty"`  // it does not reach a majority of the servers
 	NotReady  string           `json:"not_ready,omitempty"` // why the writer takes no proposals; empty at the others
 	Peers     []PeerStatus     `json:"peers"`
 	Followers []FollowerStatus `json:"followers"` // that poll this server, by name, servers included
 }
 
-// Server is one control server.
-type Server struct{ config ServerConfig }
+// Server is one control server. After each call, Next says anew when Tick is due.
+// It has a poll open at each other server, so that a revision reaches it by any way that
+// is left, and holds the polls of its followers until it has something newer for them.
+type Server struct {
+	config    ServerConfig
+	rules     rules
+	state     State // as it is on disk
+	history   *history
+	newest    Version // that any server or follower has shown
+	peers     []*peer
+	followers map[string]*FollowerStatus
+	held      *heldPolls
+	updates   map[updateKey]Update // of the version in state, shared by followers that have the same
+	isolated  bool
+
+	saving    *saving
+	lastSave  uint64
+	proposals []*change // that wait for the save under way
+	wrote     bool      // it took a proposal or an epoch since its start
+
+	effects []ServerEffect // of the call under way
+}
+
+// NewServer gives a server with what its disk held. A state that is not of its own digest is not used.
+func NewServer(now float64, c ServerConfig, stored Stored) *Server {
+	if stored.State.Verify() != nil {
+		stored = Stored{}
+	}
+	s := &Server{config: c, state: stored.State, newest: stored.State.Version,
+		history: newHistory(stored.History, stored.State), followers: map[string]*FollowerStatus{}, held: newHeldPolls(),
+		updates: map[updateKey]Update{}}
+	requests := new(uint64)
+	for i, address := range c.Servers {
+		if address.Name != c.Name {
+			s.peers = append(s.peers, newPeer(now, s, address, c.Seed+uint64(i), requests))
+		}
+	}
+	return s
+}
 
-// NewServer gives a server with what its disk held.
-func NewServer(now float64, c ServerConfig, stored Stored) *Server { return &Server{config: c} }
+// writer tells whether this server takes proposals.
+func (s *Server) writer() bool { return s.config.Writer == s.config.Name }
 
 // Next is when Tick is due.
-func (s *Server) Next() float64 { return 0 }
+func (s *Server) Next() float64 {
+	next := s.held.deadline()
+	for _, p := range s.peers {
+		next = min(next, p.follower.Next())
+	}
+	return next
+}
 
 // Tick does what is due.
-func (s *Server) Tick(now float64) []ServerEffect { return nil }
-
-// Polled takes a follower's poll. The request is answered by an AnswerPoll, at once or later.
-func (s *Server) Polled(now float64, request uint64, p Poll) []ServerEffect { return nil }
+func (s *Server) Tick(now float64) []ServerEffect {
+	for first := s.held.first(); first != nil && now >= first.deadline; first = s.held.first() {
+		s.held.remove(first)
+		s.answer(first.request, s.unchanged())
+	}
+	for _, p := range s.peers {
+		s.carryOut(now, p, p.follower.Tick(now))
+	}
+	s.checkIsolation()
+	return s.take()
+}
 
-// Closed takes that the caller of a held poll has gone. It is not answered any more.
-func (s *Server) Closed(now float64, request uint64) {}
+// take gives the effects of the call under way and begins with none.
+func (s *Server) take() []ServerEffect {
+	effects := s.effects
+	s.effects = nil
+	return effects
+}
 
-// Propose takes a proposal. The request is answered by an AnswerProposal.
-func (s *Server) Propose(now float64, request uint64, p Proposal) []ServerEffect { return nil }
+func (s *Server) emit(e ServerEffect) { s.effects = append(s.effects, e) }
 
-// NewEpoch begins an epoch with the entries that the writer has, as an operator asks for after a backup was restored.
-// Zero draws the one after the highest seen; any other has to be higher than that.
-func (s *Server) NewEpoch(now float64, request uint64, epoch uint64, author, note string) []ServerEffect {
-	return nil
+// show takes a version that a server or follower has shown.
+func (s *Server) show(v Version) {
+	if s.newest = newest(s.newest, v); s.newest != v {
+		return
+	}
+	for _, p := range s.peers {
+		p.follower.newest = s.newest // the next poll tells the others
+	}
 }
 
-// Saved takes the outcome of a Save.
-func (s *Server) Saved(now float64, save uint64, err error) []ServerEffect { return nil }
-
-// Answered takes another server's answer to a poll of this one.
-func (s *Server) Answered(now float64, request uint64, u Update) []ServerEffect { return nil }
+// History gives the revisions that the server keeps, oldest first. The caller must not change them.
+func (s *Server) History() []Revision { return slices.Clip(s.history.revisions) }
 
-// Failed takes that a poll of this server at another one got no answer.
-func (s *Server) Failed(now float64, request uint64) []ServerEffect { return nil }
+// State gives the state that the server has on disk. The caller must not change it.
+func (s *Server) State() State { return s.state }
 
 // Status tells what the server knows.
-func (s *Server) Status(now float64) ServerStatus { return ServerStatus{} }
-
-// History gives the revisions that the server keeps, oldest first. The caller must not change them.
-func (s *Server) History() []Revision { return nil }
+func (s *Server) Status(now float64) ServerStatus {
+	status := ServerStatus{Name: s.config.Name, Region: s.config.Region, Writer: s.config.Writer,
+		Version: s.state.Version, Digest: s.state.Digest, Newest: s.newest, Isolated: s.isolated}
+	if s.writer() {
+		status.NotReady = s.notReady()
+	}
+	for _, p := range s.peers {
+		status.Peers = append(status.Peers, p.status(s.state.Version))
+	}
+	for _, f := range s.followers {
+		if now-f.Heard < statusAge {
+			status.Followers = append(status.Followers, *f)
+		}
+	}
+	slices.SortFunc(status.Followers, func(a, b FollowerStatus) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(status.Peers, func(a, b PeerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return status
+}
--- /dev/null
+++ b/internal/configfeed/sim_node_test.go
@@ -0,0 +1,99 @@
+package configfeed
+
+import "encoding/json"
+
+// simNode is a node's process. Its state is on its disk and outlives it.
+type simNode struct {
+	process
+	sim     *simulation
+	config  FollowerConfig
+	core    *Follower
+	state   State
+	since   float64 // when state was put in force
+	refuses func(State) string
+	timer   float64
+}
+
+func (n *simNode) start() {
+	n.begin()
+	n.timer = 0
+	n.core = NewFollower(n.sim.clock.Now, n.config, n.state)
+	n.core.rules = n.sim.rules
+	n.schedule()
+}
+
+func (n *simNode) schedule() {
+	next := n.core.Next()
+	if n.timer > n.sim.clock.Now && n.timer <= next {
+		return
+	}
+	n.timer = next
+	n.sim.do(max(next-n.sim.clock.Now, 0), &n.process, func() {
+		if n.timer == next {
+			n.timer = 0
+			n.carryOut(n.core.Tick(n.sim.clock.Now))
+		}
+	})
+}
+
+func (n *simNode) carryOut(effects []FollowerEffect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case SendPoll:
+			n.poll(effect)
+		case Install:
+			n.install(effect)
+		}
+	}
+	n.schedule()
+}
+
+func (n *simNode) poll(p SendPoll) {
+	text, err := json.Marshal(p.Poll)
+	if err != nil {
+		panic(err)
+	}
+	n.bytes += len(text) + headerBytes
+	n.sim.poll(&n.process, p, func(u Update) {
+		n.carryOut(n.core.Answered(n.sim.clock.Now, p.Request, u))
+	}, func() {
+		n.carryOut(n.core.Failed(n.sim.clock.Now, p.Request))
+	})
+}
+
+// install puts a state in force after a while, as a node does, and judges it.
+func (n *simNode) install(i Install) {
+	n.sim.do(0.005, &n.process, func() {
+		if n.refuses != nil {
+			if reason := n.refuses(i.State); reason != "" {
+				n.carryOut(n.core.Refuse(n.sim.clock.Now, Refusal{Version: i.State.Version, Reason: reason}))
+				return
+			}
+		}
+		if i.State.Version.Compare(n.state.Version) <= 0 {
+			n.sim.broken("%s goes back from %s to %s", n.name, n.state.Version, i.State.Version)
+		}
+		if !n.sim.holds(i.State) {
+			n.sim.broken("%s has entries under %s that never were accepted", n.name, i.State.Version)
+		}
+		n.state, n.since = i.State, n.sim.clock.Now
+		n.carryOut(n.core.Installed(n.sim.clock.Now, i.State.Version))
+	})
+}
+
+// poll carries a poll to a server and its answer back. Once answered or failed, nothing more comes of it.
+func (s *simulation) poll(from *process, p SendPoll, answered func(Update), failed func()) {
+	for _, server := range s.servers {
+		if server.name != p.Server.Name {
+			continue
+		}
+		s.send(from, &server.process, func() {
+			server.polled(p.Poll, func(u Update, size int) {
+				s.send(&server.process, from, func() {
+					from.bytes += size
+					answered(u)
+				}, func() {})
+			})
+		}, failed)
+	}
+}
--- /dev/null
+++ b/internal/configfeed/sim_server_test.go
@@ -0,0 +1,208 @@
+package configfeed
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+)
+
+// simServer is a server's process with its disk.
+type simServer struct {
+	process
+	sim      *simulation
+	config   ServerConfig
+	core     *Server
+	disk     Stored
+	old      Stored // a copy of the disk to be put back
+	oldAt    float64
+	failSave bool
+	saveTime float64 // zero for one millisecond
+	requests uint64
+	pollers  map[uint64]func(Update)  // by request
+	callers  map[uint64]func(Outcome) // by request
+	timer    float64
+	encoded  map[encodedKey]int
+}
+
+// encodedKey is what makes two updates of a server equal.
+type encodedKey struct {
+	kind     UpdateKind
+	version  Version
+	from     Version
+	server   bool
+	isolated bool
+}
+
+func (n *simServer) start() {
+	n.begin()
+	n.pollers, n.callers = map[uint64]func(Update){}, map[uint64]func(Outcome){}
+	n.encoded, n.timer = map[encodedKey]int{}, 0
+	stored := Stored{State: n.disk.State, History: slices.Clone(n.disk.History)}
+	n.core = NewServer(n.sim.clock.Now, n.config, stored)
+	n.core.rules = n.sim.rules
+	for _, p := range n.core.peers {
+		p.follower.rules = n.sim.rules
+	}
+	n.schedule()
+}
+
+// keepCopy keeps a copy of the disk.
+func (n *simServer) keepCopy() {
+	n.old = Stored{State: n.disk.State, History: slices.Clone(n.disk.History)}
+	n.oldAt = n.sim.clock.Now
+}
+
+// putBack kills the server and puts the copy of its disk back. What the writer promised since the copy is gone with it.
+func (n *simServer) putBack() {
+	n.kill()
+	n.disk = Stored{State: n.old.State, History: slices.Clone(n.old.History)}
+	if n == n.sim.writer() {
+		n.sim.yes = slices.DeleteFunc(n.sim.yes, func(p promise) bool { return p.at >= n.oldAt })
+	}
+}
+
+// wipe kills the server and empties its disk.
+func (n *simServer) wipe() {
+	n.old, n.oldAt = Stored{}, 0
+	n.putBack()
+}
+
+// schedule has Tick called when it is due.
+func (n *simServer) schedule() {
+	next := n.core.Next()
+	if n.timer > n.sim.clock.Now && n.timer <= next {
+		return
+	}
+	n.timer = next
+	n.sim.do(max(next-n.sim.clock.Now, 0), &n.process, func() {
+		if n.timer == next {
+			n.timer = 0
+			n.carryOut(n.core.Tick(n.sim.clock.Now))
+		}
+	})
+}
+
+func (n *simServer) carryOut(effects []ServerEffect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case SendPoll:
+			n.poll(effect)
+		case AnswerPoll:
+			if answer := n.pollers[effect.Request]; answer != nil {
+				delete(n.pollers, effect.Request)
+				answer(effect.Update)
+			}
+		case AnswerProposal:
+			if answer := n.callers[effect.Request]; answer != nil {
+				delete(n.callers, effect.Request)
+				answer(effect.Outcome)
+			}
+		case Save:
+			n.save(effect)
+		}
+	}
+	n.schedule()
+}
+
+// poll sends a poll of this server to another one.
+func (n *simServer) poll(p SendPoll) {
+	n.sim.poll(&n.process, p, func(u Update) {
+		n.carryOut(n.core.Answered(n.sim.clock.Now, p.Request, u))
+	}, func() {
+		n.carryOut(n.core.Failed(n.sim.clock.Now, p.Request))
+	})
+}
+
+// save writes to the disk after a while.
+func (n *simServer) save(save Save) {
+	took := n.saveTime
+	if took == 0 {
+		took = 0.001
+	}
+	fails := n.failSave
+	n.sim.do(took, &n.process, func() {
+		if fails {
+			n.carryOut(n.core.Saved(n.sim.clock.Now, save.ID, errors.New("disk is full")))
+			return
+		}
+		n.disk.State = save.State
+		n.disk.History = append(n.disk.History, save.Revisions...)
+		n.disk.History = n.disk.History[max(len(n.disk.History)-HistoryRevisions, 0):]
+		if n == n.sim.writer() && !n.sim.holds(save.State) {
+			n.sim.saved[save.State.Version] = append(n.sim.saved[save.State.Version], save.State)
+		}
+		n.sim.do(took, &n.process, func() { n.carryOut(n.core.Saved(n.sim.clock.Now, save.ID, nil)) })
+	})
+}
+
+// polled takes a poll that arrived; answer is called with the bytes of the answer.
+func (n *simServer) polled(p Poll, answer func(Update, int)) {
+	n.requests++
+	n.pollers[n.requests] = func(u Update) {
+		answer(u, n.size(p, u))
+	}
+	n.carryOut(n.core.Polled(n.sim.clock.Now, n.requests, p))
+}
+
+// size gives the bytes of an answer; equal updates are encoded once.
+func (n *simServer) size(p Poll, u Update) int {
+	key := encodedKey{kind: u.Kind, version: u.Version, server: p.Server, isolated: u.Isolated}
+	if len(u.Deltas) > 0 {
+		key.from = u.Deltas[0].From
+	} else if len(u.Revisions) > 0 {
+		key.from = u.Revisions[0].Delta.From
+	}
+	if size, ok := n.encoded[key]; ok {
+		return size
+	}
+	text, err := json.Marshal(u)
+	if err != nil {
+		panic(err)
+	}
+	n.encoded[key] = len(text) + headerBytes
+	return n.encoded[key]
+}
+
+// propose sends a proposal to the writer and notes what was promised.
+func (s *simulation) propose(p Proposal, answered func(Outcome)) {
+	n := s.writer()
+	if !n.up {
+		return
+	}
+	s.do(latency, &n.process, func() {
+		n.requests++
+		n.callers[n.requests] = func(o Outcome) {
+			if o.Kind == Accepted {
+				s.yes = append(s.yes, promise{id: p.ID, version: o.Version, at: s.clock.Now})
+			}
+			if answered != nil {
+				answered(o)
+			}
+		}
+		n.carryOut(n.core.Propose(s.clock.Now, n.requests, p))
+	})
+}
+
+// newEpoch is an operator's act at the writer.
+func (s *simulation) newEpoch() {
+	n := s.writer()
+	n.requests++
+	n.callers[n.requests] = func(Outcome) {}
+	n.carryOut(n.core.NewEpoch(s.clock.Now, n.requests, 0, "operator", "after faults"))
+}
+
+// edit gives a proposal that sets a key of its own, and one that all proposals set, on top of what the writer has.
+func (s *simulation) edit(id string) Proposal {
+	state := s.writer().core.State()
+	entries := map[string]string{}
+	for _, e := range state.Entries {
+		entries[e.Key] = e.Value
+	}
+	entries["last"], entries["mark."+id] = `"`+id+`"`, "true"
+	p := Proposal{ID: id, IfVersion: state.Version, Author: "test"}
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		p.Entries = append(p.Entries, Entry{Key: key, Value: entries[key]})
+	}
+	return p
+}
--- a/internal/configfeed/types.go
+++ b/internal/configfeed/types.go
@@ -7,14 +7,19 @@
 // the follower has, or after the requested wait. Followers never replace a version by an older one.
 package configfeed
 
-import "cmp"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Limits of what is distributed. A change has to reach every node within seconds on a small budget of bytes, so both
 // the whole state and one change are bounded.
 const (
 	MaxStateBytes  = 1 << 20 // of all keys and values of a state
 	MaxChangeBytes = 64 << 10
-	MaxNameBytes   = 64 // of a server's or follower's name
+	MaxNameBytes   = 64  // of a server's or follower's name
+	MaxReasonBytes = 512 // of a refusal
+	MaxEpoch       = 1 << 53
 )
 
 // Version orders states. An epoch is begun by an operator after a restored backup or a lost disk; within an epoch
@@ -29,6 +34,17 @@
 	return cmp.Or(cmp.Compare(v.Epoch, other.Epoch), cmp.Compare(v.Revision, other.Revision))
 }
 
+func (v Version) String() string { return fmt.Sprintf("%d:%d", v.Epoch, v.Revision) }
+
+// newest gives the newer of two versions. Epochs beyond MaxEpoch are nobody's and count as nothing, so that a broken
+// follower can't use the epochs up.
+func newest(a, b Version) Version {
+	if b.Epoch > MaxEpoch || b.Compare(a) <= 0 {
+		return a
+	}
+	return b
+}
+
 // Digest is a hash of a state's entries, the same at every holder of the same entries.
 type Digest uint64
 
@@ -91,6 +107,7 @@
 	Kind      UpdateKind `json:"kind"`
 	Server    string     `json:"server"`
 	Version   Version    `json:"version"`
+	Isolated  bool       `json:"isolated,omitempty"` // the server does not reach a majority of the servers
 	Deltas    []Delta    `json:"deltas,omitempty"`
 	Revisions []Revision `json:"revisions,omitempty"`
 	State     *State     `json:"state,omitempty"`
@@ -125,8 +142,9 @@
 	NoChange  OutcomeKind = "no_change"  // the entries are those of the newest version
 	NotWriter OutcomeKind = "not_writer" // Outcome.Writer takes proposals
 	NotReady  OutcomeKind = "not_ready"  // Outcome.Detail says why: see Server.Propose
-	TooLarge  OutcomeKind = "too_large"
-	Failed    OutcomeKind = "failed" // the disk did not take it; whether it is kept is not known
+	TooLarge  OutcomeKind = "too_large"  // MaxStateBytes or MaxChangeBytes is passed
+	Invalid   OutcomeKind = "invalid"    // Outcome.Detail says why
+	Failed    OutcomeKind = "failed"     // the disk did not take it; whether it is kept is not known
 )
 
 // Outcome answers a Proposal.
