Configuration distribution: properties under drawn faults, and a wrong core for each checker

Cause: 10,000 drawn courses found a server that stayed with a line of an older epoch: its peers answered Diverged, though a newer epoch replaces any line. Change: Diverged for another line only within an epoch.

--- a/internal/configfeed/follower.go
+++ b/internal/configfeed/follower.go
@@ -183,7 +183,9 @@
 		f.returnAfter = min(2*f.returnAfter, longestReturn)
 		f.returnAt = math.Inf(1)
 	}
-	f.current = (f.current + 1) % len(f.config.Servers)
+	if !f.rules.neverMoveOn {
+		f.current = (f.current + 1) % len(f.config.Servers)
+	}
 	f.retry(now)
 	f.reached = false
 }
--- a/internal/configfeed/polls.go
+++ b/internal/configfeed/polls.go
@@ -116,6 +116,8 @@
 // update gives the answer to a poll, and whether it has to go out at once.
 func (s *Server) update(p Poll) (u Update, ready bool) {
 	switch order := p.Have.Compare(s.state.Version); {
+	case order > 0 && s.rules.takeOlder:
+		return s.newer(updateKey{whole: true}, nil), true
 	case order > 0:
 		return s.carrying(Behind), true
 	case order == 0 && p.Digest != s.state.Digest && p.Have != (Version{}):
@@ -124,7 +126,8 @@
 		return s.unchanged(), false
 	}
 	revisions, same, found := s.history.since(p.Have, p.Digest)
-	if !same && p.Server {
+	same = same || s.rules.skipDigest
+	if !same && p.Server && p.Have.Epoch == s.state.Version.Epoch { // a newer epoch replaces any line of an older one
 		return s.carrying(Diverged), true
 	}
 	key := updateKey{have: p.Have, server: p.Server}
--- a/internal/configfeed/rules.go
+++ b/internal/configfeed/rules.go
@@ -3,11 +3,12 @@
 // rules are the rules of safety. The zero value is in use; only tests switch single rules off, to show that their
 // checkers fire.
 type rules struct {
-	takeOlder       bool // a follower replaces its version by any other
-	skipDigest      bool // a follower takes deltas and snapshots without looking at digests and where deltas start
+	takeOlder       bool // a server that is behind sends what it has, and a follower takes it
+	skipDigest      bool // neither side looks at digests, nor a follower at where a delta starts
 	answerUnsaved   bool // a proposal is accepted before it is saved
 	skipMajority    bool // the writer does not wait for the other servers' versions
 	forgetProposals bool // a repeated proposal is applied again
+	neverMoveOn     bool // a follower polls one server only
 }
 
 // mayReplace tells whether a version in force may be replaced by another.
