--- /dev/null
+++ b/internal/configfeed/follower_test.go
@@ -0,0 +1,206 @@
+package configfeed
+
+import (
+	"fmt"
+	"testing"
+)
+
+var testServers = []ServerAddress{{"c0", "c0", "north"}, {"c1", "c1", "north"}, {"c2", "c2", "south"}}
+
+func newTestFollower(have State) *Follower {
+	return NewFollower(0, FollowerConfig{Name: "n", Region: "north", Servers: testServers, Seed: 1}, have)
+}
+
+// nextPoll gives the poll that the follower sends when it is due next, and when that is.
+func nextPoll(t *testing.T, f *Follower) (float64, SendPoll) {
+	t.Helper()
+	for range 4 {
+		at := f.Next()
+		for _, effect := range f.Tick(at) {
+			if send, ok := effect.(SendPoll); ok {
+				return at, send
+			}
+		}
+	}
+	t.Fatal("no poll")
+	return 0, SendPoll{}
+}
+
+func mustState(t *testing.T, revision uint64, entries ...Entry) State {
+	t.Helper()
+	s, err := NewState(Version{Epoch: 1, Revision: revision}, entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// leadingTo gives the update that leads from a state to another one.
+func leadingTo(from, to State) Update {
+	d := Delta{From: from.Version, To: to.Version, Digest: to.Digest}
+	d.Set, d.Delete = difference(from.Entries, to.Entries)
+	return Update{Kind: Changes, Version: to.Version, Deltas: []Delta{d}}
+}
+
+func TestNextPollWaitsUntilTheStateIsInForce(t *testing.T) {
+	first, second := mustState(t, 1, Entry{"a", "1"}, Entry{"b", "1"}), mustState(t, 2, Entry{"b", "2"}, Entry{"c", "1"})
+	f := newTestFollower(first)
+	at, poll := nextPoll(t, f)
+	effects := f.Answered(at, poll.Request, leadingTo(first, second))
+	want(t, len(effects), 1)
+	want(t, effects[0].(Install).State, second)
+	want(t, effects[0].(Install).Changed, []string{"a", "b", "c"})
+	want(t, len(f.Tick(at+100)), 0)
+	want(t, f.View().Version, first.Version)
+	sent := f.Installed(at+100, second.Version)[0].(SendPoll)
+	want(t, sent.Poll.Have, second.Version)
+	want(t, f.View().Since, at+100)
+}
+
+func TestDeltaThatDoesNotFitIsFollowedByAPollForASnapshot(t *testing.T) {
+	first, second := mustState(t, 1, Entry{"a", "1"}), mustState(t, 2, Entry{"a", "2"})
+	good := leadingTo(first, second).Deltas[0]
+	wrongDigest, wrongFrom, missing, old := good, good, good, good
+	wrongDigest.Digest++
+	wrongFrom.From.Revision = 7
+	missing.Delete = []string{"x"}
+	old.To = first.Version
+	for name, d := range map[string]Delta{"digest": wrongDigest, "from": wrongFrom, "delete": missing, "to": old} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFollower(first)
+			at, poll := nextPoll(t, f)
+			want(t, len(f.Answered(at, poll.Request, Update{Kind: Changes, Deltas: []Delta{d}})), 0)
+			at, poll = nextPoll(t, f)
+			want(t, poll.Poll.Whole, true)
+			effects := f.Answered(at, poll.Request, Update{Kind: Snapshot, Version: second.Version, State: &second})
+			want(t, effects[0].(Install).State, second)
+			want(t, f.Installed(at, second.Version)[0].(SendPoll).Poll.Whole, false)
+		})
+	}
+}
+
+func TestStatesThatAreNotTaken(t *testing.T) {
+	have := mustState(t, 5, Entry{"a", "1"})
+	older, same, bad := mustState(t, 4, Entry{"a", "2"}), mustState(t, 5, Entry{"a", "2"}), mustState(t, 6, Entry{"a", "2"})
+	bad.Digest++
+	beyond := mustState(t, 6, Entry{"a", "2"})
+	beyond.Version.Epoch = MaxEpoch + 1
+	for name, state := range map[string]State{"older": older, "same": same, "digest": bad, "epoch": beyond} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFollower(have)
+			at, poll := nextPoll(t, f)
+			want(t, len(f.Answered(at, poll.Request, Update{Kind: Snapshot, Version: state.Version, State: &state})), 0)
+			_, next := nextPoll(t, f)
+			want(t, next.Poll.Have, have.Version)
+			want(t, next.Server != poll.Server, true)
+		})
+	}
+}
+
+func TestRefusedVersionIsToldAndNotTakenAgain(t *testing.T) {
+	first, second, third := mustState(t, 1, Entry{"a", "1"}), mustState(t, 2, Entry{"a", "2"}), mustState(t, 3, Entry{"a", "3"})
+	f := newTestFollower(first)
+	at, poll := nextPoll(t, f)
+	f.Answered(at, poll.Request, leadingTo(first, second))
+	r := Refusal{Version: second.Version, Reason: "unknown key"}
+	sent := f.Refuse(at, r)[0].(SendPoll)
+	want(t, sent.Poll.Refused, &r)
+	want(t, sent.Poll.Have, first.Version)
+	want(t, len(f.Answered(at+2, sent.Request, leadingTo(first, second))), 0)
+	at, poll = nextPoll(t, f)
+	effects := f.Answered(at, poll.Request, leadingTo(first, third))
+	want(t, effects[0].(Install).State, third)
+	want(t, f.Installed(at, third.Version)[0].(SendPoll).Poll.Refused, nil)
+}
+
+func TestOwnRegionComesFirstAndIsReturnedTo(t *testing.T) {
+	f := newTestFollower(mustState(t, 1, Entry{"a", "1"}))
+	var order []string
+	at, poll := 0.0, SendPoll{}
+	for range 3 {
+		at, poll = nextPoll(t, f)
+		order = append(order, poll.Server.Region)
+		if len(order) < 3 {
+			f.Failed(at, poll.Request)
+		}
+	}
+	want(t, order, []string{"north", "north", "south"})
+	begin := at
+	for poll.Server.Region == "south" {
+		want(t, at < begin+60, true)
+		send := f.Answered(at+poll.Poll.Wait, poll.Request, Update{Kind: Unchanged})[0].(SendPoll)
+		at, poll = at+poll.Poll.Wait, send
+	}
+	want(t, at > begin+shortestReturn, true)
+}
+
+func TestFirstPollAtAServerIsShortAndBackoffIsBounded(t *testing.T) {
+	f := newTestFollower(mustState(t, 1, Entry{"a", "1"}))
+	at, poll := nextPoll(t, f)
+	want(t, poll.Poll.Wait, 0)
+	want(t, poll.Timeout, answerTime)
+	long := f.Answered(at, poll.Request, Update{Kind: Unchanged})[0].(SendPoll)
+	want(t, long.Poll.Wait, DefaultWait)
+	want(t, long.Timeout, DefaultWait+answerTime)
+	effects := f.Tick(at + long.Timeout)
+	want(t, effects[0].(CancelPoll).Request, long.Request)
+	for range 50 {
+		at, poll = nextPoll(t, f)
+		f.Failed(at, poll.Request)
+		if gap := f.Next() - at; gap > longestBackoff {
+			t.Errorf("the next poll is %g s later", gap)
+		}
+	}
+}
+
+// TestTwoProcessesOfOneNameDoNotPollInALoop shows what holds back two processes that a server answers in turn, because
+// each one's poll ends the other's.
+func TestTwoProcessesOfOneNameDoNotPollInALoop(t *testing.T) {
+	f := newTestFollower(mustState(t, 1, Entry{"a", "1"}))
+	at, poll := nextPoll(t, f)
+	f.Answered(at, poll.Request, Update{Kind: Unchanged})
+	begin, polls := at, 0
+	request := f.poll.request
+	for at < begin+60 {
+		f.Answered(at, request, Update{Kind: Unchanged}) // at once, though it may have been held back
+		at, poll = nextPoll(t, f)
+		request = poll.Request
+		polls++
+	}
+	if polls > 150 {
+		t.Errorf("%d polls in a minute", polls)
+	}
+}
+
+func TestIsolatedServerIsLeft(t *testing.T) {
+	f := newTestFollower(mustState(t, 1, Entry{"a", "1"}))
+	at, poll := nextPoll(t, f)
+	f.Answered(at, poll.Request, Update{Kind: Unchanged, Isolated: true})
+	_, next := nextPoll(t, f)
+	want(t, next.Server != poll.Server, true)
+}
+
+func TestCorruptStateIsNotStartedWith(t *testing.T) {
+	bad := mustState(t, 1, Entry{"a", "1"})
+	bad.Entries = []Entry{{"a", "2"}}
+	want(t, newTestFollower(bad).View().Version, Version{})
+}
+
+func TestApplyLeadsToTheSameStateAsTheEntries(t *testing.T) {
+	var before, after []Entry
+	for i := range 20 {
+		key := fmt.Sprintf("k%02d", i)
+		if i%3 != 0 {
+			before = append(before, Entry{key, "1"})
+		}
+		if i%4 != 0 {
+			after = append(after, Entry{key, fmt.Sprint(1 + i%2)})
+		}
+	}
+	from, to := mustState(t, 1, before...), mustState(t, 2, after...)
+	got, err := from.Apply(leadingTo(from, to).Deltas[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, got, to)
+}
