Live settings: the document, its keys and ranges, and the typed settings of a node

Cause: what of a configuration can change while flows go on was not said anywhere, so nothing could check a revision before it is distributed.

Change: internal/livesettings reads a TOML document strictly to sorted entries (dotted key, compact JSON value), checks entries and decodes them. Live are retry advice, the time within which the list is asked for, the number of nodes, discovery's address, connects for a flow and descriptors, the four slow start figures, tenants' shares, the two targets of a service type, and of a host the time until which it is disabled and its weight.

--- /dev/null
+++ b/internal/livesettings/livesettings_test.go
@@ -0,0 +1,228 @@
+package livesettings
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"gorseledge/internal/configfeed"
+)
+
+const whole = `# every key of the document
+retry_advice_s = 12.5
+ask_within_s = 8
+nodes = 860
+discovery = "127.0.0.1:8500"
+
+[limits]
+max_connects = 2
+sockets = 4096
+
+[slow_start]
+from = 0.1
+for_s = 30
+fall_multiple = 3.0
+fall_for_s = 1.5
+
+[tenants.red]
+connections = 20_000
+
+[tenants."green.b"]
+connections = 0
+
+[service_types.chat]
+setup_target_s = 0.4
+message_target_s = 0.2
+
+[hosts.s-5be2a07c]
+disabled_until_s = 1_764_650_000
+weight = 0.5
+`
+
+// Every key of the table is read, sorted, under its dotted name, and gets into the settings.
+func TestDocumentWithEveryKey(t *testing.T) {
+	entries, err := Parse("live.toml", []byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []configfeed.Entry{
+		{Key: "ask_within_s", Value: "8"},
+		{Key: "discovery", Value: `"127.0.0.1:8500"`},
+		{Key: "hosts.s-5be2a07c.disabled_until_s", Value: "1764650000"},
+		{Key: "hosts.s-5be2a07c.weight", Value: "0.5"},
+		{Key: "limits.max_connects", Value: "2"},
+		{Key: "limits.sockets", Value: "4096"},
+		{Key: "nodes", Value: "860"},
+		{Key: "retry_advice_s", Value: "12.5"},
+		{Key: "service_types.chat.message_target_s", Value: "0.2"},
+		{Key: "service_types.chat.setup_target_s", Value: "0.4"},
+		{Key: "slow_start.fall_for_s", Value: "1.5"},
+		{Key: "slow_start.fall_multiple", Value: "3"},
+		{Key: "slow_start.for_s", Value: "30"},
+		{Key: "slow_start.from", Value: "0.1"},
+		{Key: "tenants.green.b.connections", Value: "0"},
+		{Key: "tenants.red.connections", Value: "20000"},
+	}
+	if !slices.Equal(entries, want) {
+		t.Fatalf("%v\nwanted\n%v", entries, want)
+	}
+	if err := Check(entries); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Decode(entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := json.Marshal(s)
+	const settings = `{"retry_advice_s":12.5,"ask_within_s":8,"nodes":860,"discovery":"127.0.0.1:8500","max_connects":2,` +
+		`"sockets":4096,"slow_start":{"from":0.1,"for_s":30,"fall_multiple":3,"fall_for_s":1.5},` +
+		`"tenants":{"green.b":{"connections":0},"red":{"connections":20000}},` +
+		`"service_types":{"chat":{"setup_target_s":0.4,"message_target_s":0.2}},` +
+		`"hosts":{"s-5be2a07c":{"disabled_until_s":1764650000,"weight":0.5}}}`
+	if string(text) != settings {
+		t.Errorf("%s\nwanted\n%s", text, settings)
+	}
+	for _, k := range keys {
+		if !slices.ContainsFunc(entries, func(e configfeed.Entry) bool { _, ok := k.match(e.Key); return ok }) {
+			t.Errorf("the document above has no %s", k.pattern)
+		}
+	}
+}
+
+func TestEmptyDocumentChangesNothing(t *testing.T) {
+	entries, err := Parse("live.toml", []byte("# nothing yet\n"))
+	if err != nil || len(entries) != 0 {
+		t.Fatalf("%v, %v", entries, err)
+	}
+	if s, err := Decode(entries); err != nil || !reflect.DeepEqual(s, Settings{}) {
+		t.Fatalf("%+v, %v", s, err)
+	}
+}
+
+// Each refused document gives one line with the file, the line and the key, and says why.
+func TestRefusedDocuments(t *testing.T) {
+	for _, c := range []struct{ text, says string }{
+		{"nodes = 3\nunheard_of = 1\n", "2: unheard_of: unknown key"},
+		{"[limits]\nmax_connect = 1\n", "2: limits.max_connect: unknown key"},
+		{"[hosts.s-1]\ncolour = \"red\"\n", "2: hosts.s-1.colour: unknown key"},
+		{"[nowhere]\n", "1: nowhere: unknown key"},
+		{"[hosts.s-1]\n", "1: hosts.s-1: nothing stands in this table"},
+		{"[limits]\n\n", "1: limits: nothing stands in this table"},
+		{"hosts = 3\n", "1: hosts: unknown key"},
+		{"limits = { max_connects = 2,\n  sockets = 1 }\n", "2: limits.sockets: 1 is not between 32 and 4194304 descriptors"},
+		{"limits.max_connects = 0\n", "1: limits.max_connects: 0 is not between 1 and 64 connects"},
+		{"limits.max_connects = 2.5\n", "1: limits.max_connects: wanted a whole number"},
+		{"limits.max_connects = 2.0\nnodes = 2.5\n", "2: nodes: wanted a whole number"},
+		{"limits.max_connects = \"2\"\n", "1: limits.max_connects: wanted a whole number"},
+		{"retry_advice_s = -1\n", "1: retry_advice_s: -1 is not between 0 and 600 s"},
+		{"retry_advice_s = nan\n", "1: retry_advice_s: wanted a number"},
+		{"retry_advice_s = inf\n", "1: retry_advice_s: wanted a number"},
+		{"retry_advice_s = true\n", "1: retry_advice_s: wanted a number"},
+		{"retry_advice_s = [1.0]\n", "1: retry_advice_s: wanted a number"},
+		{"ask_within_s = 0.1\n", "1: ask_within_s: 0.1 is not between 0.5 and 300 s"},
+		{"ask_within_s = 301\n", "1: ask_within_s: 301 is not between 0.5 and 300 s"},
+		{"nodes = 0\n", "1: nodes: 0 is not between 1 and 100000 nodes"},
+		{"nodes = 100001\n", "1: nodes: 100001 is not between 1 and 100000 nodes"},
+		{"discovery = 7\n", "1: discovery: wanted an address in quotes"},
+		{"discovery = \"127.0.0.1\"\n", "1: discovery: wanted HOST:PORT with a port from 1 to 65535"},
+		{"discovery = \"127.0.0.1:0\"\n", "1: discovery: wanted HOST:PORT"},
+		{"discovery = \"127.0.0.1:65536\"\n", "1: discovery: wanted HOST:PORT"},
+		{"discovery = \"a host:80\"\n", "1: discovery: wanted HOST:PORT"},
+		{"[slow_start]\nfrom = 0\n", "2: slow_start.from: 0 is not between 0.001 and 1 share"},
+		{"[slow_start]\nfrom = 1.1\n", "2: slow_start.from: 1.1 is not between"},
+		{"[slow_start]\nfor_s = 3601\n", "2: slow_start.for_s: 3601 is not between 0.1 and 3600 s"},
+		{"[slow_start]\nfall_multiple = 0.9\n", "2: slow_start.fall_multiple: 0.9 is not between 1 and 20 times"},
+		{"[slow_start]\nfall_for_s = 61\n", "2: slow_start.fall_for_s: 61 is not between 0.01 and 60 s"},
+		{"[tenants.red]\nconnections = -1\n", "2: tenants.red.connections: -1 is not between 0 and 1000000000 connections"},
+		{"[tenants.red]\nconnections = 1000000001\n", "2: tenants.red.connections: 1000000001 is not between"},
+		{"[service_types.chat]\nsetup_target_s = 0\n", "2: service_types.chat.setup_target_s: 0 is not between 0.001 and 600 s"},
+		{"[service_types.chat]\nmessage_target_s = 61\n", "2: service_types.chat.message_target_s: 61 is not between 0.0001 and 60 s"},
+		{"[hosts.s-1]\ndisabled_until_s = 4102444801\n", "2: hosts.s-1.disabled_until_s: 4102444801 is not between 0 and 4102444800 Unix s"},
+		{"[hosts.s-1]\ndisabled_until_s = 2026-12-02T05:00:00Z\n", "2: hosts.s-1.disabled_until_s: wanted a number"},
+		{"[hosts.s-1]\nweight = 0\n", "2: hosts.s-1.weight: 0 is not between 0.001 and 1000000 as listed"},
+		{"[hosts.\"\"]\nweight = 1\n", "2: hosts..weight: unknown key"},
+		{"[hosts." + strings.Repeat("h", MaxNameBytes+1) + "]\nweight = 1\n", "a name of 129 bytes, and 128 do"},
+		{"[hosts.\"a\\nb\"]\nweight = 1\n", `2: "hosts.a\nb.weight": a name with control characters`},
+		{"[hosts.a.b]\nweight = 1\n[hosts.\"a.b\"]\nweight = 2\n", "4: hosts.a.b.weight: stands in line 2 already"},
+		{"nodes = 1\nnodes = 2\n", "2:"},
+		{"nodes =\n", "1:"},
+		{"[[hosts]]\nweight = 1\n", "1: hosts: unknown key"},
+		{"name = \"n1\"\n", "1: name: needs a restart"},
+		{"seed = \"9\"\n", "1: seed: needs a restart"},
+		{"nodes = 3\n[limits]\ncores = 2\n", "3: limits.cores: needs a restart"},
+		{"[limits]\nprobes = true\n", "2: limits.probes: needs a restart"},
+		{"[limits]\nmax_retry_after_us = 5\n", "2: limits.max_retry_after_us: needs a restart; the live key is retry_advice_s"},
+		{"[invariants]\ncold_from = 0.1\n", "2: invariants.cold_from: needs a restart; the live key is slow_start.from"},
+		{"[settings.limits]\nmax_connects = 3\n", "2: settings.limits.max_connects: needs a restart"},
+		{"[known]\nindex = 3\n", "2: known.index: needs a restart"},
+		{"[service_types.chat]\neffect = \"once\"\n", "2: service_types.chat.effect: needs a restart"},
+		{"[service_types.chat]\nmemory_span_us = 1\n", "2: service_types.chat.memory_span_us: needs a restart"},
+		{"[[parties]]\nname = \"red\"\n", "1: parties: needs a restart"},
+		{"zones = [\"a\"]\n", "1: zones: needs a restart"},
+	} {
+		entries, err := Parse("live.toml", []byte(c.text))
+		if err == nil || entries != nil || !strings.HasPrefix(err.Error(), "live.toml:") ||
+			!strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, wanted %q", c.text, err, c.says)
+		}
+	}
+}
+
+// The check of entries refuses what no document gives, by its key.
+func TestRefusedEntries(t *testing.T) {
+	entry := func(key, value string) configfeed.Entry { return configfeed.Entry{Key: key, Value: value} }
+	for _, c := range []struct {
+		entries []configfeed.Entry
+		key     string
+	}{
+		{[]configfeed.Entry{entry("nodes", "3"), entry("ask_within_s", "3")}, "ask_within_s"},
+		{[]configfeed.Entry{entry("nodes", "3"), entry("nodes", "3")}, "nodes"},
+		{[]configfeed.Entry{entry("nodes", " 3")}, "nodes"},
+		{[]configfeed.Entry{entry("nodes", "")}, "nodes"},
+		{[]configfeed.Entry{entry("nodes", "3e1")}, "nodes"},
+		{[]configfeed.Entry{entry("nodes", "null")}, "nodes"},
+		{[]configfeed.Entry{entry("discovery", "null")}, "discovery"},
+		{[]configfeed.Entry{entry("retry_advice_s", "1e999")}, "retry_advice_s"},
+		{[]configfeed.Entry{entry("", "3")}, ""},
+		{[]configfeed.Entry{entry("hosts.s-1", "3")}, "hosts.s-1"},
+	} {
+		var wrong *KeyError
+		if err := Check(c.entries); !errors.As(err, &wrong) || wrong.Key != c.key {
+			t.Errorf("%v: %v", c.entries, err)
+		}
+	}
+	long := entry("hosts.s-1.weight", strings.Repeat("1", configfeed.MaxStateBytes))
+	if err := Check([]configfeed.Entry{long}); err == nil || !strings.Contains(err.Error(), "bytes of keys and values") {
+		t.Errorf("%v", err)
+	}
+}
+
+// A document of ten thousand hosts fits: no list ends at a thousand.
+func TestManyHosts(t *testing.T) {
+	var text strings.Builder
+	for i := range 10_000 {
+		text.WriteString("[hosts.s-" + strings.Repeat("0", 4) + string(rune('a'+i%26)) + strings.Repeat("b", i/26%30) + "-" +
+			strings.Repeat("c", i/780) + "]\nweight = 2\n")
+	}
+	entries, err := Parse("live.toml", []byte(text.String()))
+	if err != nil || len(entries) != 10_000 {
+		t.Fatalf("%d entries, %v", len(entries), err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(whole)
+	f.Add("limits = { sockets = 3 }\n[hosts.\"a\\nb\"]\nweight = nan\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		entries, err := Parse("live.toml", []byte(text))
+		if err == nil {
+			err = Check(entries)
+			if err != nil {
+				t.Fatalf("what was read does not pass the check: %v", err)
+			}
+		}
+	})
+}
