Live settings in force between two inputs of the core

Cause: every figure of a node was fixed at its start, so that a change took a restart of each node.

Change: the input Reconfigured puts a revision of the live settings in force as a whole or says why not (Configured). placement.Replace and Weigh replace figures of the module and decide nothing on hosts. What a revision leaves out goes back to the start's figure; figures over what the start allows are refused; names that the node does not know have no effect and are given back. A host is out while an operator or the settings have it out; the settings' override ends by the core's own deadline, and connects that are still being dialed to the host are given up. In an upgrade the revision and the hosts out by hand go over with the handover state, and each process tells the other of a later revision. A process that starts alone may wait for a first revision before its listener opens (AwaitSettings). Without a Reconfigured input nothing changes.

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -2,6 +2,7 @@
 
 import (
 	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/node/live"
 	"gorseledge/internal/peers"
 )
 
@@ -69,6 +70,8 @@
 	Told struct{ News News }
 	// Siblings is how many nodes share the hosts now, this one included.
 	Siblings struct{ Nodes int }
+	// Reconfigured is a revision of the live settings, answered by Configured in the same Apply.
+	Reconfigured struct{ Revision live.Revision }
 	// Heard is what another node said.
 	Heard struct{ Words []peers.Word }
 	// Adopted is an open connection of the elder's, under the number of a client's; its host's is asked for by Own.
@@ -91,28 +94,29 @@
 	}
 )
 
-func (Accepted) input()  {}
-func (Dialed) input()    {}
-func (Got) input()       {}
-func (Wrote) input()     {}
-func (Closed) input()    {}
-func (Departed) input()  {}
-func (Listed) input()    {}
-func (Spoke) input()     {}
-func (Unlisted) input()  {}
-func (Relocated) input() {}
-func (Tick) input()      {}
-func (Leave) input()     {}
-func (Asked) input()     {}
-func (Opened) input()    {}
-func (Inherited) input() {}
-func (Told) input()      {}
-func (Heard) input()     {}
-func (Siblings) input()  {}
-func (Adopted) input()   {}
-func (Passed) input()    {}
-func (HeirGone) input()  {}
-func (ElderGone) input() {}
+func (Accepted) input()     {}
+func (Dialed) input()       {}
+func (Got) input()          {}
+func (Wrote) input()        {}
+func (Closed) input()       {}
+func (Departed) input()     {}
+func (Listed) input()       {}
+func (Spoke) input()        {}
+func (Unlisted) input()     {}
+func (Relocated) input()    {}
+func (Tick) input()         {}
+func (Leave) input()        {}
+func (Asked) input()        {}
+func (Opened) input()       {}
+func (Inherited) input()    {}
+func (Told) input()         {}
+func (Heard) input()        {}
+func (Siblings) input()     {}
+func (Reconfigured) input() {}
+func (Adopted) input()      {}
+func (Passed) input()       {}
+func (HeirGone) input()     {}
+func (ElderGone) input()    {}
 
 // Question is what the second address or an heir may ask.
 type Question uint8
@@ -195,29 +199,40 @@
 	Tell struct{ News News }
 	// Say is for all other nodes.
 	Say struct{ Words []peers.Word }
+	// Configured answers Reconfigured: the revision is in force, or Err says why none of it is. What it says of Ignored
+	// keys has no effect here.
+	Configured struct {
+		Ignored []string
+		Err     error
+	}
+	// Relocate says that discovery is at another address, by the live settings; the empty one stands for the start's.
+	// A Watch follows.
+	Relocate struct{ Address string }
 	// Shutter ends the accepting of clients, once those who wait are let in.
 	Shutter struct{}
 )
 
-func (Dial) effect()    {}
-func (Read) effect()    {}
-func (Write) effect()   {}
-func (Shut) effect()    {}
-func (Close) effect()   {}
-func (Watch) effect()   {}
-func (Unwatch) effect() {}
-func (Timer) effect()   {}
-func (Note) effect()    {}
-func (Done) effect()    {}
-func (Exit) effect()    {}
-func (Halt) effect()    {}
-func (Pass) effect()    {}
-func (Own) effect()     {}
-func (Ready) effect()   {}
-func (Tell) effect()    {}
-func (Say) effect()     {}
-func (Shutter) effect() {}
-func (Answer) effect()  {}
+func (Dial) effect()       {}
+func (Read) effect()       {}
+func (Write) effect()      {}
+func (Shut) effect()       {}
+func (Close) effect()      {}
+func (Watch) effect()      {}
+func (Unwatch) effect()    {}
+func (Timer) effect()      {}
+func (Note) effect()       {}
+func (Done) effect()       {}
+func (Exit) effect()       {}
+func (Halt) effect()       {}
+func (Pass) effect()       {}
+func (Own) effect()        {}
+func (Ready) effect()      {}
+func (Tell) effect()       {}
+func (Say) effect()        {}
+func (Shutter) effect()    {}
+func (Answer) effect()     {}
+func (Configured) effect() {}
+func (Relocate) effect()   {}
 
 // Record is what the log keeps of a client's connection.
 type Record struct {
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -28,7 +28,9 @@
 // is kept for them.
 func (n *Node) byHand(name string, out bool) bool {
 	at, known := n.byName[name]
-	if known && n.module.ByHand(n.now, at, out) {
+	if known && n.hosts[at].disabledByHand != out {
+		n.hosts[at].disabledByHand = out
+		n.applyDisabled(at)
 		n.ask(Note{fmt.Sprintf("host %s by hand: %s", name, map[bool]string{true: "out", false: "back"}[out])})
 		if out {
 			n.ask(Tell{News{Out: name}})
--- a/internal/node/legacy.go
+++ b/internal/node/legacy.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/node/live"
 	"gorseledge/placement"
 )
 
@@ -32,6 +33,9 @@
 	Sits   []Sitting
 	Spent  map[uint64]uint64 // client keys by the hash of an ended flow's id
 	Held   int               // descriptors
+
+	Revision       *live.Revision `json:",omitempty"` // of the live settings; nil for none
+	DisabledByHand []string       `json:",omitempty"` // hosts, where there is a revision: the module's are those of both
 }
 
 // News is what one process tells the other while there are two. One field is set.
@@ -40,6 +44,8 @@
 	Sits      *Sitting `json:",omitempty"` // a flow became a connection
 	Over      string   `json:",omitempty"` // id of a connection that is no more
 	Held      int      `json:",omitempty"` // descriptors
+
+	Revision *live.Revision `json:",omitempty"` // of the live settings, in force
 }
 
 // legacy gives all that goes over.
@@ -57,6 +63,7 @@
 	for _, s := range n.ids.sits {
 		l.Sits = append(l.Sits, *s)
 	}
+	n.handoverSettings(l)
 	return l
 }
 
@@ -83,6 +90,7 @@
 	}
 	l.Module.Servers = mine
 	n.module.Inherit(l.Module)
+	n.inheritSettings(l, places)
 	n.ids.spent, n.ids.older = map[uint64]uint64{}, l.Spent
 	for _, id := range n.ids.sitting() {
 		n.leaves(id)
@@ -123,6 +131,11 @@
 		n.byHand(news.Out, true)
 	case news.Back != "":
 		n.byHand(news.Back, false)
+	case news.Revision != nil:
+		if _, err := n.putInForce(*news.Revision); err != nil {
+			n.ask(Note{fmt.Sprintf("the other process's revision %d.%d not in force: %v", news.Revision.Epoch,
+				news.Revision.Number, err)})
+		}
 	case n.given: // an heir's own connections are none of its elder's business
 	case news.Sits != nil:
 		n.sits(news.Sits)
--- a/internal/node/live/live.go
+++ b/internal/node/live/live.go
@@ -51,6 +51,9 @@
 	State    json.RawMessage `json:"state,omitempty"` // as it was distributed, for the process that takes over
 }
 
+// IsZero tells whether r stands for no revision.
+func (r Revision) IsZero() bool { return r.Epoch == 0 && r.Number == 0 }
+
 // NewerThan tells whether r replaces other.
 func (r Revision) NewerThan(other Revision) bool {
 	return r.Epoch > other.Epoch || r.Epoch == other.Epoch && r.Number > other.Number
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -69,9 +69,14 @@
 			zone = -1
 		}
 		items = append(items, placement.Listing{Server: at, ID: number(h.Name), State: state,
-			Since: max(h.Since, 0) / 1e3, Zone: zone, Cell: int(h.Group), Size: max(h.Weight, 0)})
+			Since: max(h.Since, 0) / 1e3, Zone: zone, Cell: int(h.Group), Size: n.weightOf(h.Name, h.Weight)})
 	}
 	n.module.List(n.now, kind, items)
+	if !n.live.revision.IsZero() {
+		for _, it := range items {
+			n.applyDisabled(it.Server)
+		}
+	}
 	n.recall()
 }
 
@@ -83,7 +88,7 @@
 		if f == nil || !f.out || f.established || f.carried || f.host.up {
 			continue
 		}
-		if h := &n.hosts[f.on]; states[h.told.Status] != placement.Ready {
+		if h := &n.hosts[f.on]; states[h.told.Status] != placement.Ready || h.overridden {
 			n.connectOver(f, placement.NeverSent)
 		}
 	}
@@ -94,5 +99,11 @@
 	return !n.leaving && (n.heard || n.misses >= 2 && len(n.hosts) > 0)
 }
 
+// mayOpen tells whether the listener may open: the settings are not waited for, and where another process has the
+// clients until then, they can be served.
+func (n *Node) mayOpen() bool {
+	return !n.awaitsSettings() && !n.leaving && (n.canServe() || !n.succeeds)
+}
+
 // isReady tells whether the front may send clients.
 func (n *Node) isReady() bool { return !n.shut && n.canServe() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,12 +21,19 @@
 	Toll    int         // descriptors that a process takes beside its connections
 	Shut    bool        // the door is not open yet: Ready asks for it, and Opened says that it is
 	Left    *Legacy     // what an elder has left; nil for none
+
+	// AwaitSettings is for how long the listener stays closed at the most until a first revision of the live settings
+	// comes, in seconds; zero where none is to come.
+	AwaitSettings float64
 }
 
 type host struct {
 	name, address string
 	told          roster.Host // as it was listed last
 	heard         float64     // when it last said anything
+
+	disabledByHand bool // by an operator at the second address
+	overridden     bool // by the live settings, when that was looked at last
 }
 
 // Node is the whole state of a real node.
@@ -59,6 +66,7 @@
 	heard    bool           // discovery has told a list since the start
 	misses   int            // calls of discovery that failed since
 	watch    watch
+	live     liveSettings
 
 	types, tenants, zones map[string]int
 
@@ -68,6 +76,7 @@
 	timerAt    float64 // the timer asked for last
 	lag, tick  float64 // by how much this node's own timer rang late, beyond how exact timers are here
 	shut, able bool    // the door is not open yet; it was said that it may be
+	succeeds   bool    // another process has the clients until this one can serve
 
 	paired   bool // an heir is told what changes here
 	given    bool // it takes the clients
@@ -110,14 +119,16 @@
 		ids: newIDs(), limit: s.Sockets, byName: map[string]int{}, byNumber: map[uint32]int{},
 		probes: probeWords(s.Rundown.Reports), mayProbe: s.Rundown.Probes,
 		types: places(s.Door.Types), tenants: places(s.Door.Tenants), zones: places(s.Door.Zones),
-		shut: s.Shut, sockets: s.Sockets, toll: s.Toll + flightSpare, wakeAt: math.Inf(1), timerAt: math.Inf(1),
+		shut: s.Shut || s.AwaitSettings > 0, succeeds: s.Shut, sockets: s.Sockets, toll: s.Toll + flightSpare, wakeAt: math.Inf(1), timerAt: math.Inf(1),
 		tick: s.Rundown.Tick, watch: watch{fresh: now}}
+	n.live = newLiveSettings(now, s)
 	for _, name := range s.Door.Types {
 		n.figures.Types = append(n.figures.Types, Tally{Type: name})
 	}
 	n.list(placement.ListCached, s.Known)
 	if s.Left != nil {
 		n.inherit(s.Left)
+		n.watch = watch{fresh: now} // nothing can be asked for yet
 	}
 	return n
 }
@@ -136,12 +147,13 @@
 		n.module.Woken(n.now)
 	}
 	n.forget()
+	n.expireOverrides()
 	n.pull()
 	n.sweep()
 	if n.leaving {
 		n.depart()
 	}
-	if n.shut && !n.able && n.canServe() {
+	if n.shut && !n.able && n.mayOpen() {
 		n.able = true
 		n.ask(Ready{})
 	}
@@ -217,7 +229,9 @@
 	case Told:
 		n.toldBy(in.News)
 	case Siblings:
-		n.module.Siblings(in.Nodes)
+		n.siblings(in.Nodes)
+	case Reconfigured:
+		n.reconfigured(in.Revision)
 	case Heard:
 		for _, w := range in.Words { // of a host that was never listed here nothing is kept
 			if at, known := n.byNumber[w.Host]; known {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -48,6 +48,9 @@
 	passes    []Pass
 	owned     Own
 	words     []peers.Word
+
+	configured []Configured
+	relocated  []string
 }
 
 func newWorld(t *testing.T, mode string, hosts, sockets int) *world {
@@ -145,6 +148,10 @@
 				w.owned = e
 			case Say:
 				w.words = append(w.words, e.Words...)
+			case Configured:
+				w.configured = append(w.configured, e)
+			case Relocate:
+				w.relocated = append(w.relocated, e.Address)
 			}
 		}
 	}
--- a/internal/node/timers.go
+++ b/internal/node/timers.go
@@ -43,7 +43,10 @@
 
 // nextDue drops stale entries and gives the time of the first that counts.
 func (n *Node) nextDue() float64 {
-	next := min(n.wakeAt, n.watch.due())
+	next := min(n.wakeAt, n.watch.due(), n.live.expiry)
+	if n.shut && !n.able && n.awaitsSettings() {
+		next = min(next, n.live.awaitTill)
+	}
 	for len(n.dues) > 0 {
 		d := n.dues[0]
 		if c := n.conns[d.conn]; c != nil && c.turn == d.turn {
--- /dev/null
+++ b/placement/figures_test.go
@@ -0,0 +1,147 @@
+package placement
+
+import (
+	"math"
+	"testing"
+)
+
+// Each figure that may be replaced changes the next decision, or what it hangs on.
+func TestReplacedFiguresDecideNext(t *testing.T) {
+	cold := func(g *rig) { // of four servers one starts now
+		it := g.entry(3, Ready)
+		it.Since = g.now
+		g.List(g.now, ListChanges, []Listing{it})
+	}
+	onCold := func(g *rig) (n int) { // of 200 flows within a second
+		cold(g)
+		g.fill(0, 100)
+		for range 4 {
+			g.pass(beat)
+		}
+		g.fill(100, 100)
+		return g.servers[g.index(3)].held
+	}
+	for _, c := range []struct {
+		name   string
+		change func(*Figures)
+		decide func(g *rig) any
+	}{
+		{"max connects", func(f *Figures) { f.MaxConnects = 1 }, func(g *rig) any {
+			g.arrive(0, Arrival{Key: 5})
+			g.Ended(g.now, 0, 0, Unreached, false)
+			return g.pull()[0].Do
+		}},
+		{"retry advice", func(f *Figures) { f.RetryAdvice = 200 }, func(g *rig) any {
+			for i := range 4 {
+				g.ByHand(g.now, g.index(i), true)
+			}
+			d, _ := g.arrive(0, Arrival{Key: 5})
+			return d.Within > 50
+		}},
+		{"time to ask within", func(f *Figures) { f.AskWithin = 0.5 }, func(g *rig) any {
+			for range 4 {
+				g.List(g.now, ListFailed, nil)
+			}
+			return g.askGap
+		}},
+		{"a cold server's first share", func(f *Figures) { f.ColdFrom = 1 }, func(g *rig) any { return onCold(g) }},
+		{"for how long a server is cold", func(f *Figures) { f.ColdFor = 0.01 }, func(g *rig) any {
+			return onCold(g)
+		}},
+		{"at which multiple a cold server falls over", func(f *Figures) { f.FallMultiple = 12 }, func(g *rig) any { return onCold(g) }},
+		{"for how long", func(f *Figures) { f.FallFor = 40 }, func(g *rig) any { return onCold(g) }},
+		{"the target of a setup", func(f *Figures) { f.Targets[0].Setup = 2.5 }, func(g *rig) any {
+			d, _ := g.arrive(0, Arrival{Key: 5})
+			return d.Within
+		}},
+		{"the target of a message", func(f *Figures) { f.Targets[0].Message = 9 }, func(g *rig) any {
+			_, on := g.arrive(0, Arrival{Key: 5})
+			g.Established(0, 0)
+			g.DelayNote(g.now, 0, 0.15)
+			_, next := g.arrive(1, Arrival{Key: 5})
+			return on == next
+		}},
+		{"a share", func(f *Figures) { f.Quotas[0] = 0 }, func(g *rig) any {
+			g.fill(0, 4)
+			for i := range 4 { // room within the ceiling, and none within what is left to who is over its share
+				s := &g.servers[g.index(i)]
+				s.ceiling = (s.work + 0.02) / 0.9
+			}
+			d, _ := g.arrive(9, Arrival{Key: 5})
+			return d.Do
+		}},
+	} {
+		rigOf := func() *rig { return newRig(4, func(r *Rundown) { r.Quotas = []float64{1000} }) }
+		as, by := rigOf(), rigOf()
+		f := by.Rundown.Figures()
+		c.change(&f)
+		by.Replace(f)
+		if a, b := c.decide(as), c.decide(by); a == b {
+			t.Errorf("%s: %v under both", c.name, a)
+		}
+	}
+}
+
+// The figures of the start, put back, decide as if nothing had been replaced.
+func TestFiguresOfTheStartPutBack(t *testing.T) {
+	play := func(replace bool) (out []Decision) {
+		g := newRig(5, func(r *Rundown) { r.Quotas = []float64{20, 30} })
+		if replace {
+			start := g.Rundown.Figures()
+			other := g.Rundown.Figures()
+			other.MaxConnects, other.ColdFor, other.Quotas[1], other.Targets[0].Message = 1, 99, 0, 0
+			g.Replace(other)
+			if g.MaxConnects != 1 || !math.IsInf(g.aim, 1) || g.Quotas[1] != 0 || start.Quotas[1] != 30 {
+				t.Fatalf("%+v", g.Rundown)
+			}
+			g.Replace(start)
+		}
+		for id := range 80 {
+			d, _ := g.arrive(id, Arrival{Key: uint64(id + 1), Tenant: id % 3})
+			if out = append(out, d); id%3 > 0 {
+				g.Established(id, 0)
+			}
+			out = append(out, g.pass(beat)...)
+		}
+		return out
+	}
+	a, b := play(false), play(true)
+	if len(a) != len(b) {
+		t.Fatalf("%d decisions and %d", len(a), len(b))
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			t.Fatalf("decision %d: %+v and %+v", i, a[i], b[i])
+		}
+	}
+}
+
+// A flow that waits for its answer keeps its deadline through any change of figures.
+func TestReplacedFiguresKeepDeadlines(t *testing.T) {
+	g := newRig(4, nil)
+	g.arrive(0, Arrival{Key: 5, Left: 2})
+	due := g.flows[0].due
+	f := g.Rundown.Figures()
+	f.MaxConnects, f.RetryAdvice, f.AskWithin, f.Targets[0].Setup, f.FallFor, f.ColdFor = 1, 0, 1, 9, 9, 99
+	if g.Replace(f); g.flows[0].due != due {
+		t.Errorf("due at %g, was %g", g.flows[0].due, due)
+	}
+}
+
+// A server's weight draws groups' homes to it.
+func TestWeighedServerDrawsHomes(t *testing.T) {
+	g := newRig(4, nil)
+	homes := func() (n int) {
+		for group := uint64(1); group <= 100; group++ {
+			if g.homes(group, 1)[0] == 2 {
+				n++
+			}
+		}
+		return n
+	}
+	before := homes()
+	g.Weigh(g.index(2), 50)
+	if after := homes(); before > 50 || after < 90 {
+		t.Errorf("%d of 100 homes before, %d after", before, after)
+	}
+}
