Nodes follow the control servers that the fleet file names

Cause: revisions of the configuration reached no node.

Change: the fleet file takes region and [[control]] tables. internal/fleet runs a follower, hands each revision to the node's loop and returns once it is in force or refused; a later process of an upgrade follows only once it has the clients, and goes on from the predecessor's revision. GET /-/config and lb.config.* figures say what is in force, how old the last word of a server is, which server, and what was refused and why. Without a word for 10 s the log says so, once.

Measured: go test of internal/fleet, internal/sockets and internal/admin passes; builds with and without -tags alone.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -54,15 +54,20 @@
 	put("GET /-/ready", node.IsReady, yes(http.StatusServiceUnavailable, "not ready"))
 	put("GET /-/metrics", node.HowMany, func(w http.ResponseWriter, a node.Answer) {
 		write(w, a.Figures)
-		if members != nil {
-			writeMembers(w, members())
+		if members == nil {
+			return
+		}
+		v := members()
+		writeMembers(w, v)
+		if v.Config != nil {
+			writeConfig(w, *v.Config)
 		}
 	})
 	if members != nil {
-		mux.HandleFunc("GET /-/members", func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(members())
-		})
+		mux.HandleFunc("GET /-/members", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, members()) })
+	}
+	if members != nil && members().Config != nil {
+		mux.HandleFunc("GET /-/config", func(w http.ResponseWriter, r *http.Request) { writeJSON(w, members().Config) })
 	}
 	put("PUT /-/hosts/{id}/disable", node.TakeOut, yes(http.StatusNotFound, "no such host"))
 	put("PUT /-/hosts/{id}/enable", node.PutBack, yes(http.StatusNotFound, "no such host"))
@@ -86,6 +91,11 @@
 	})
 }
 
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
 var plain = strings.NewReplacer(":", "_", "|", "_", "\r", "_", "\n", "_")
 
 // write gives the figures, one a line: counts since the start of the process and, of what is now, gauges.
@@ -125,6 +135,23 @@
 	gauge(w, "members.nodes", v.Nodes)
 }
 
+// writeConfig gives the figures of the configuration's distribution: what is in force and how old the last word of a
+// control server is, and counts of what went to control servers and came from them.
+func writeConfig(w io.Writer, c view.Config) {
+	gauge(w, "config.epoch", int(c.Epoch))
+	gauge(w, "config.revision", int(c.Revision))
+	gauge(w, "config.newest_epoch", int(c.Newest.Epoch))
+	gauge(w, "config.newest_revision", int(c.Newest.Revision))
+	gauge(w, "config.age_s", int(c.Age))
+	refused := 0
+	if c.Refused != nil {
+		refused = 1
+	}
+	gauge(w, "config.refused", refused)
+	fmt.Fprintf(w, "lb.config.requests:%d|c\nlb.config.bytes_sent:%d|c\nlb.config.bytes_received:%d|c\n",
+		c.Requests, c.BytesSent, c.BytesReceived)
+}
+
 // Serve answers calls that come to ln, over at most that many connections at once, until the context ends.
 func Serve(ctx context.Context, ln net.Listener, most int, ask Ask, members func() view.View) error {
 	door := newDoor(ln, most)
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -31,6 +31,8 @@
 	Zone    string            `toml:"zone"`     // where the node stands
 	Period  float64           `toml:"period_s"` // between two probes, 0.05 to 60; 1 where it is missing
 	Via     map[string]string `toml:"via"`      // where this node reaches an address, if that is elsewhere
+	Region  string            `toml:"region,omitempty"`
+	Control []ControlServer   `toml:"control,omitempty"` // where the node follows the configuration; none for not at all
 	keys    [][]byte
 }
 
@@ -100,5 +102,5 @@
 	if _, err := fleetkey.Decode(c.Key, c.OldKey); err != nil {
 		return top(err.Setting), err
 	}
-	return strict.Place{}, nil
+	return c.checkControl()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"gorseledge/internal/fleet/view"
 	"gorseledge/internal/membership"
 	"gorseledge/internal/membership/wire"
+	"gorseledge/internal/node/live"
 	"gorseledge/internal/peers"
 )
 
@@ -24,15 +26,15 @@
 
 // Fleet is this node's part of a fleet.
 type Fleet struct {
-	config  Config
-	log     zerolog.Logger
-	began   time.Time
-	base    float64
-	settled int
-	nodes   func(int)
-	words   func([]peers.Word)
+	config        Config
+	options       view.Options
+	log           zerolog.Logger
+	began         time.Time
+	base          float64
+	configuration *configuration // nil where the fleet file names no control servers
 
 	mu      sync.Mutex
+	settled int // nodes of which the node's settings speak
 	core    *membership.Members
 	seal    *seal
 	socket  *peers.Socket // nil while there is none
@@ -44,24 +46,40 @@
 	told    int
 }
 
-// New gives a node's part of a fleet by its file; name, build and start are the node's, settled is how many
-// nodes its settings speak of. nodes is told the number of nodes to reckon with, now and whenever it changes,
-// and words what other members say of hosts.
-func New(c Config, name, build string, seed uint64, settled int, log zerolog.Logger, nodes func(int),
-	words func([]peers.Word)) *Fleet {
+// New gives a node's part of a fleet by its file.
+func New(c Config, o view.Options) *Fleet {
 	began := time.Now()
-	f := &Fleet{config: c, log: log, began: began, base: float64(began.UnixNano()) / 1e9, settled: settled, nodes: nodes, words: words,
+	f := &Fleet{config: c, options: o, log: o.Log, began: began, base: float64(began.UnixNano()) / 1e9, settled: o.Settled,
 		seal: newSeal(c), refused: map[refusal]int{}, wake: make(chan struct{}, 1)}
 	f.core = membership.New(f.now(), membership.Config{
-		Self: membership.Member{Name: name, Start: uint64(began.UnixMicro()), Address: c.Address, Zone: c.Zone, Build: build},
-		Join: c.Join, Seed: seed, Period: c.Period, Timeout: c.Period / 5, Helpers: 3, Most: mostBody})
+		Self: membership.Member{Name: o.Name, Start: uint64(began.UnixMicro()), Address: c.Address, Zone: c.Zone, Build: o.Build},
+		Join: c.Join, Seed: o.Seed, Period: c.Period, Timeout: c.Period / 5, Helpers: 3, Most: mostBody})
+	if len(c.Control) > 0 && o.Install != nil {
+		f.configuration = newConfiguration(c, o, f.now)
+		f.settle(o.InForce)
+	}
 	return f
 }
 
 func (f *Fleet) now() float64 { return f.base + time.Since(f.began).Seconds() }
 
-// Run is a member until the context ends, or the node has left the fleet.
+// Run is a member until the context ends, or the node has left the fleet. It follows the control servers, where the
+// fleet file names some, until the context ends.
 func (f *Fleet) Run(ctx context.Context) error {
+	if f.configuration == nil {
+		return f.member(ctx)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		f.configuration.run(ctx)
+		return nil
+	})
+	group.Go(func() error { return f.member(ctx) })
+	return group.Wait()
+}
+
+// member is a member until the context ends, or the node has left the fleet.
+func (f *Fleet) member(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		held, left := f.held, f.left
@@ -153,8 +171,8 @@
 	}
 	f.mu.Unlock()
 	if why == taken && m.Kind == wire.Message_WORDS {
-		if words := peers.Read(m.Words); len(words) > 0 && f.words != nil {
-			f.words(words)
+		if words := peers.Read(m.Words); len(words) > 0 && f.options.Words != nil {
+			f.options.Words(words)
 		}
 		return
 	}
@@ -231,8 +249,8 @@
 	changed := n != f.told
 	f.told = n
 	f.mu.Unlock()
-	if changed && f.nodes != nil {
-		f.nodes(n)
+	if changed && f.options.Nodes != nil {
+		f.options.Nodes(n)
 	}
 }
 
@@ -252,6 +270,34 @@
 	}
 	f.mu.Unlock()
 	f.nudge()
+	if f.configuration != nil {
+		f.configuration.hold(held)
+	}
+}
+
+// Follow follows the control servers from here on, as no predecessor of this process does.
+func (f *Fleet) Follow() {
+	if f.configuration != nil {
+		f.configuration.release()
+	}
+}
+
+// InForce notes that a revision of the live settings is in force.
+func (f *Fleet) InForce(r live.Revision) {
+	if f.configuration != nil {
+		f.configuration.inForce(r)
+		f.settle(r)
+	}
+}
+
+// settle takes the number of nodes of which a revision speaks, or the start's where it speaks of none.
+func (f *Fleet) settle(r live.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settled = f.options.Settled
+	if nodes := r.Settings.Nodes; nodes != nil {
+		f.settled = *nodes
+	}
 }
 
 // Leave tells the others that this node goes, unless another process of it stays.
@@ -293,5 +339,8 @@
 	for why, n := range f.refused {
 		v.Refused[string(why)] = n
 	}
+	if f.configuration != nil {
+		v.Config = f.configuration.view()
+	}
 	return v
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 
+	"gorseledge/internal/node/live"
 	"gorseledge/internal/peers"
 )
 
@@ -15,6 +16,8 @@
 	Hold(held bool)                // another process of the node has the part, or this one has it back
 	Leave()                        // the node goes
 	Say(words []peers.Word)        // to every other member that lives
+	Follow()                       // the configuration from here on: no predecessor does it any more
+	InForce(r live.Revision)       // a revision of the live settings is in force
 	View() View
 }
 
@@ -27,6 +30,7 @@
 	Nodes   int            `json:"nodes"`
 	Members []Seen         `json:"members"`
 	Refused map[string]int `json:"refused,omitempty"`
+	Config  *Config        `json:"-"` // nil where the fleet file names no control servers
 }
 
 // Seen is one member as the second address shows it.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,9 @@
 	return n.now < n.live.awaitTill && n.live.revision.IsZero()
 }
 
+// Revision gives the revision of the live settings that is in force; the zero Revision for none.
+func (n *Node) Revision() live.Revision { return n.live.revision }
+
 // reconfigured puts a revision in force, or says why not.
 func (n *Node) reconfigured(r live.Revision) {
 	ignored, err := n.putInForce(r)
--- a/internal/sockets/config.go
+++ b/internal/sockets/config.go
@@ -12,8 +12,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/rs/zerolog"
-
 	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/fleet/view"
 	"gorseledge/internal/line"
@@ -91,21 +89,22 @@
 	return err
 }
 
-// opener makes a node a member of a fleet; settled is how many nodes its settings speak of, and nodes is told
-// the number to reckon with and words what other members say of hosts.
-type opener func(name, build string, seed uint64, settled int, log zerolog.Logger, nodes func(int),
-	words func([]peers.Word)) view.Part
+// member is what the fleet file makes of a node. Without one, open is nil.
+type member struct {
+	open    func(view.Options) view.Part
+	follows bool // the configuration, from control servers
+}
 
 // member reads the fleet file, if there is one.
-func (c Config) member() (opener, error) {
+func (c Config) member() (member, error) {
 	if c.Fleet == "" {
-		return nil, nil
+		return member{}, nil
 	}
-	open, err := readFleet(c.Fleet)
+	m, err := readFleet(c.Fleet, c.Name)
 	if err == nil && c.Name == "" {
 		err = errors.New("fleet: a member has a name, and the config gives none")
 	}
-	return open, err
+	return m, err
 }
 
 // differs tells whether something else than discovery and the list known is another here than there.
--- a/internal/sockets/member.go
+++ b/internal/sockets/member.go
@@ -3,21 +3,22 @@
 package sockets
 
 import (
-	"github.com/rs/zerolog"
+	"fmt"
 
+	"gorseledge/internal/configfeed"
 	"gorseledge/internal/fleet"
 	"gorseledge/internal/fleet/view"
-	"gorseledge/internal/peers"
 )
 
-// readFleet reads a fleet file.
-func readFleet(path string) (opener, error) {
+// readFleet reads the fleet file of a node with this name.
+func readFleet(path, name string) (member, error) {
 	c, err := fleet.Read(path)
 	if err != nil {
-		return nil, err
+		return member{}, err
 	}
-	return func(name, build string, seed uint64, settled int, log zerolog.Logger, nodes func(int),
-		words func([]peers.Word)) view.Part {
-		return fleet.New(c, name, build, seed, settled, log, nodes, words)
-	}, nil
+	follows := len(c.Control) > 0
+	if follows && len(name) > configfeed.MaxNameBytes {
+		return member{}, fmt.Errorf("fleet: a name of %d bytes, and %d do where control servers are followed", len(name), configfeed.MaxNameBytes)
+	}
+	return member{open: func(o view.Options) view.Part { return fleet.New(c, o) }, follows: follows}, nil
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -5,68 +5,28 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"runtime/debug"
-	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"gorseledge/internal/admin"
 	"gorseledge/internal/discovery"
-	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/fleet/view"
-	"gorseledge/internal/handover"
 	"gorseledge/internal/node"
 	"gorseledge/internal/peers"
 )
 
 const (
-	waiting      = 1024 // inputs that may wait for the loop
-	waitingWords = 16   // rounds of words that may wait for the network
+	waiting            = 1024 // inputs that may wait for the loop
+	awaitSettings      = 1.0  // s, for a first revision before clients are let in
+	controlDescriptors = 2    // a connection to a control server, and the next one while that is being closed
 )
 
-var (
-	errDone     = errors.New("nothing is left to do")
-	errOutpaced = errors.New("a call beside it was answered first")
-)
-
-// call is a call for the list, or the watch that it became.
-type call struct {
-	ctx context.Context
-	end context.CancelCauseFunc
-}
-
-// dialed brings a socket to the loop, spoke and unwatched what became of a watch, and reloaded what of the config
-// when it was read again.
-type (
-	dialed struct {
-		conn   node.Conn
-		socket *net.TCPConn
-		err    error
-	}
-	spoke struct {
-		watch  context.Context
-		within bool // a line that has not ended
-	}
-	listed struct {
-		watch context.Context
-		list  roster.List
-	}
-	unwatched struct {
-		watch context.Context
-		why   string
-	}
-	reloaded struct {
-		config Config
-		err    error
-	}
-)
+var errDone = errors.New("nothing is left to do")
 
 // door is the loop's own state.
 type door struct {
@@ -92,131 +52,9 @@
 	calls   []call            // for the list, under way, oldest first: once one has spoken it is the only one
 	others  chan []peers.Word // to the other nodes; nil where nodes may not talk
 	fleet   view.Part         // nil for a node on its own
-}
-
-// question is one for the core; the answer is taken at once.
-type question struct {
-	node.Asked
-	answer chan<- node.Answer
-}
-
-// ask puts a question to the core.
-func (d *door) ask(ctx context.Context, q node.Asked) (node.Answer, bool) {
-	answer := make(chan node.Answer, 1)
-	select {
-	case d.asks <- question{q, answer}:
-	case <-ctx.Done():
-		return node.Answer{}, false
-	case <-d.ctx.Done():
-		return node.Answer{}, false
-	}
-	select {
-	case a := <-answer:
-		return a, true
-	case <-ctx.Done():
-	case <-d.ctx.Done():
-	}
-	return node.Answer{}, false
-}
-
-// second opens the second address, if there is to be one.
-func (d *door) second(ctx context.Context) error {
-	if d.config.Admin == "" {
-		return nil
-	}
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", d.config.Admin)
-	taken := errors.Is(err, syscall.EADDRINUSE)
-	if err != nil && !(taken && d.elder != nil) {
-		return fmt.Errorf("admin_addr: %w", err)
-	}
-	d.group.Go(func() error {
-		for taken { // the elder's, under the same config: its own once that is gone
-			select {
-			case <-time.After(again):
-			case <-ctx.Done():
-				return nil
-			}
-			if ln, err = lc.Listen(ctx, "tcp", d.config.Admin); err == nil {
-				break
-			}
-		}
-		d.log.Info().Str("admin_addr", ln.Addr().String()).Int("callers", d.config.callers()).Msg("second address")
-		return admin.Serve(ctx, ln, d.config.callers(), d.ask, d.view())
-	})
-	return nil
-}
-
-// talk opens the address for messages among nodes, if there is to be one. An elder has the same: this one's
-// turn comes when that is gone. A node serves without them as well.
-func (d *door) talk(ctx context.Context) {
-	c := d.config
-	if c.PeerAddr == "" {
-		return
-	}
-	d.others = make(chan []peers.Word, waitingWords)
-	d.group.Go(func() error {
-		l, err := peers.Listen(ctx, c.PeerAddr, c.Peers)
-		if err != nil {
-			d.log.Warn().Err(err).Msg("no messages among nodes yet")
-		}
-		for err != nil {
-			select {
-			case <-time.After(again):
-			case <-ctx.Done():
-				return nil
-			}
-			l, err = peers.Listen(ctx, c.PeerAddr, c.Peers)
-		}
-		d.log.Info().Str("peer_addr", c.PeerAddr).Int("peers", len(c.Peers)).Msg("messages among nodes")
-		d.group.Go(func() error { return d.saying(ctx, l.Send) })
-		return l.Serve(ctx, d.heard)
-	})
-}
-
-// saying hands on the words that are to go to other nodes, beside the loop.
-func (d *door) saying(ctx context.Context, send func([]peers.Word)) error {
-	for {
-		select {
-		case words := <-d.others:
-			send(words)
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// heard takes another node's words.
-func (d *door) heard(words []peers.Word) {
-	select {
-	case d.inputs <- node.Heard{Words: words}:
-	default: // guards against a crowd of messages that holds clients up
-	}
-}
 
-// join makes the node a member of its fleet, if it is to be one. It serves all the same, whatever becomes of
-// that.
-func (d *door) join(ctx context.Context, open opener, start node.Start) {
-	if open == nil {
-		return
-	}
-	d.fleet = open(d.config.Name, Version(), start.Rundown.Seed, start.Rundown.Nodes, d.log, func(n int) {
-		d.send(node.Siblings{Nodes: n})
-	}, d.heard)
-	d.group.Go(func() error { return d.fleet.Run(ctx) })
-	if d.config.PeerAddr != "" || !start.Rundown.Peers {
-		return
-	}
-	d.others = make(chan []peers.Word, waitingWords) // no peers are named: the members are told
-	d.group.Go(func() error { return d.saying(ctx, d.fleet.Say) })
-}
-
-// view is what the second address shows of the fleet; nil for a node on its own.
-func (d *door) view() func() view.View {
-	if d.fleet == nil {
-		return nil
-	}
-	return d.fleet.View
+	configured    chan<- node.Configured // of the revision that the core has
+	liveDiscovery string                 // discovery's address by the live settings; empty for the config's
 }
 
 // Version is the revision that this program was built from, as far as the build knows it.
@@ -252,6 +90,12 @@
 		return err
 	}
 	start.Left, start.Shut = p.left, p.elder != nil || p.ln == nil
+	if member.follows {
+		start.Sockets, start.Toll = max(start.Sockets-controlDescriptors, 2), start.Toll+controlDescriptors
+	}
+	if member.follows && p.elder == nil {
+		start.AwaitSettings = awaitSettings
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	began := time.Now()
 	d := &door{pair: p, step: make(chan struct{}, 1), config: c, log: log, group: group, ctx: ctx,
@@ -260,6 +104,9 @@
 		last:  1, began: began, base: float64(began.UnixNano()) / 1e9, timer: time.NewTimer(0),
 		roster: discovery.New(c.Discovery)}
 	d.core = node.New(d.now(), start)
+	if address := d.core.Revision().Settings.Discovery; address != nil {
+		d.relocate(*address)
+	}
 	d.join(ctx, member, start)
 	if err := d.second(ctx); err != nil {
 		d.part()
@@ -275,7 +122,7 @@
 		d.attend(p.elder)
 	}
 	d.talk(ctx)
-	d.mayOpen = !start.Shut
+	d.mayOpen = !start.Shut && start.AwaitSettings == 0
 	group.Go(func() error { return d.loop(asked.Leave) })
 	group.Go(func() error { return d.reread(asked.Reload) })
 	if err := group.Wait(); !errors.Is(err, errDone) {
@@ -327,41 +174,6 @@
 	}
 }
 
-// reread reads the config each time it is asked to, beside the loop: a slow disk holds no client up.
-func (d *door) reread(asked <-chan os.Signal) error {
-	for {
-		select {
-		case <-d.ctx.Done():
-			return nil
-		case <-asked:
-			c, err := ReadConfig(d.config.path)
-			if err == nil {
-				_, err = c.start()
-			}
-			d.send(reloaded{c, err})
-		}
-	}
-}
-
-// reload takes a config that was read again. Discovery may be elsewhere now; the rest takes a new process.
-func (d *door) reload(c Config, err error) node.Input {
-	if err != nil { // guards against a half-written file ending a node that serves: the old one holds
-		d.log.Error().Err(err).Msg("config not taken, the old one holds")
-		return nil
-	}
-	if d.config.differs(c) {
-		d.log.Warn().Msg("config read again: all but discovery waits for a restart")
-	}
-	moved := c.Discovery != d.config.Discovery
-	d.log.Info().Str("discovery", c.Discovery).Bool("moved", moved).Msg("config read again")
-	if !moved {
-		return nil
-	}
-	d.config.Discovery = c.Discovery
-	d.roster = discovery.New(c.Discovery)
-	return node.Relocated{}
-}
-
 func (d *door) loop(stop <-chan os.Signal) error {
 	defer func() {
 		for _, l := range d.links {
@@ -432,177 +244,3 @@
 		in = d.next[i]
 	}
 }
-
-// arrived takes the sockets out of what goroutines hand in.
-func (d *door) arrived(what any) node.Input {
-	switch what := what.(type) {
-	case dialed:
-		l := d.links[what.conn]
-		if l == nil { // given up meanwhile
-			if what.socket != nil {
-				what.socket.Close()
-			}
-			return node.Closed{Conn: what.conn}
-		}
-		if what.err == nil {
-			d.link(what.conn, what.socket)
-		}
-		return node.Dialed{Conn: what.conn, Err: what.err, Own: own(what.err)}
-	case spoke:
-		if what.watch.Err() != nil { // called off meanwhile: it says nothing of the watch that took its place
-			return nil
-		}
-		d.calls = slices.DeleteFunc(d.calls, func(c call) bool {
-			if c.ctx != what.watch {
-				c.end(errOutpaced)
-			}
-			return c.ctx != what.watch
-		})
-		return node.Spoke{Within: what.within}
-	case listed:
-		// What a watch said before it was given up as silent counts. Guards against an older list after the newer one
-		// of the call beside it.
-		if context.Cause(what.watch) == errOutpaced {
-			return nil
-		}
-		return node.Listed{List: what.list}
-	case unwatched:
-		if what.watch.Err() != nil {
-			return nil
-		}
-		d.calls = slices.DeleteFunc(d.calls, func(c call) bool {
-			if c.ctx == what.watch {
-				c.end(nil)
-			}
-			return c.ctx == what.watch
-		})
-		if len(d.calls) > 0 { // one beside it waits still
-			return nil
-		}
-		return node.Unlisted{Why: what.why}
-	case reloaded:
-		return d.reload(what.config, what.err)
-	case fromTwin:
-		return d.hear(what)
-	case bound:
-		if what.ln != nil {
-			d.ln = what.ln
-		}
-		d.mayOpen = !d.opened
-		return nil
-	}
-	return what.(node.Input)
-}
-
-// own tells whether a dial failed for what this machine lacks.
-func own(err error) bool {
-	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
-		syscall.EADDRNOTAVAIL} {
-		if errors.Is(err, lack) {
-			return true
-		}
-	}
-	return false
-}
-
-// perform carries out one effect; false says that it was the last.
-func (d *door) perform(e node.Effect) bool {
-	switch e := e.(type) {
-	case node.Read:
-		l := d.links[e.Conn]
-		if l.halted {
-			l.halted = false
-			l.socket.SetReadDeadline(time.Time{})
-		}
-		l.reads <- e.Into
-	case node.Write:
-		if n, failed, whole := d.links[e.Conn].write(e.Data); whole {
-			d.next = append(d.next, node.Wrote{Conn: e.Conn, N: n, Failed: failed})
-		}
-	case node.Dial:
-		d.dial(e)
-	case node.Shut:
-		if err := d.links[e.Conn].socket.CloseWrite(); err != nil {
-			d.log.Debug().Err(err).Msg("shut")
-		}
-	case node.Close:
-		d.links[e.Conn].close(e.Reset)
-		delete(d.links, e.Conn)
-	case node.Watch:
-		d.watch(e)
-	case node.Unwatch:
-		d.unwatch(0)
-	case node.Timer:
-		d.timer.Reset(time.Duration((e.At - d.now()) * 1e9))
-	case node.Note:
-		d.log.Info().Msg(e.Line)
-	case node.Done:
-		r := e.Record
-		d.log.Info().Str("reason", string(r.Reason)).Str("type", r.Type).Str("host", r.Host).
-			Int("connects", r.Connects).Float64("setup_s", round(r.Setup)).Float64("lasted_s", round(r.Lasted)).
-			Uint64("up", r.Up).Uint64("down", r.Down).Msg("ended")
-	case node.Answer:
-		if e.Legacy != nil {
-			d.heir.post(letter{Message: handover.Message{Legacy: e.Legacy}, door: d.passes()})
-		} else {
-			d.answer <- e
-		}
-	case node.Say:
-		if d.others != nil {
-			select {
-			case d.others <- e.Words:
-			default: // the sender is behind: lost, as on the way
-			}
-		}
-	case node.Tell:
-		d.elder.post(letter{Message: handover.Message{News: &e.News}})
-		d.heir.post(letter{Message: handover.Message{News: &e.News}})
-	case node.Halt:
-		l := d.links[e.Conn]
-		l.halted = true
-		l.socket.SetReadDeadline(time.Unix(1, 0))
-	case node.Pass:
-		d.pass(e)
-	case node.Own:
-		d.link(e.Conn, d.adopted)
-		d.adopted = nil
-	case node.Ready:
-		d.open()
-	case node.Shutter:
-		d.shutter()
-	case node.Exit:
-		return false
-	}
-	return true
-}
-
-func round(seconds float64) float64 { return float64(int64(seconds*1e3+0.5)) / 1e3 }
-
-// unwatch ends all calls for the list but so many of the oldest.
-func (d *door) unwatch(but int) {
-	but = min(but, len(d.calls))
-	for _, c := range d.calls[but:] {
-		c.end(nil)
-	}
-	d.calls = d.calls[:but]
-}
-
-// watch begins a watch of the list in place of those before, or beside the oldest call, which discovery answers first.
-func (d *door) watch(e node.Watch) {
-	if e.Beside {
-		d.unwatch(1)
-	} else {
-		d.unwatch(0)
-	}
-	ctx, end := context.WithCancelCause(d.ctx)
-	d.calls = append(d.calls, call{ctx, end})
-	client := d.roster
-	d.group.Go(func() error {
-		err := client.Watch(ctx, e.Index, func(within bool) { d.send(spoke{ctx, within}) },
-			func(l roster.List) { d.send(listed{ctx, l}) })
-		if ctx.Err() == nil {
-			d.send(unwatched{ctx, err.Error()})
-		}
-		return nil
-	})
-}
--- a/internal/sockets/twin.go
+++ b/internal/sockets/twin.go
@@ -217,6 +217,7 @@
 	d.opened = true
 	if d.fleet != nil {
 		d.fleet.Ready(true)
+		d.fleet.Follow()
 	}
 	ln := d.ln
 	d.group.Go(func() error { return d.accept(ln) })
@@ -386,6 +387,9 @@
 	switch t {
 	case d.elder:
 		d.elder = nil
+		if d.fleet != nil {
+			d.fleet.Follow()
+		}
 		d.log.Info().AnErr("why", why).Msg("the elder's end of the hand-over is closed")
 		d.mayOpen = d.able && !d.opened
 		return node.ElderGone{}
