--- /dev/null
+++ b/cmd/gorsecontrol/statustable.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+const maxTableRows = 40 // of nodes that lag; --json shows all
+
+// writeStatus writes a status for people.
+func writeStatus(w io.Writer, status fleetStatus) error {
+	fmt.Fprintf(w, "newest revision: %s (epoch.revision), writer: %s\n", versionText(status.Newest), status.Writer)
+	fmt.Fprintf(w, "nodes: %d, with the newest revision: %d, oldest: %s\n\n", status.Nodes, status.Current,
+		versionText(status.Oldest))
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "SERVER\tREGION\tREVISION\tNODES\tSTATE")
+	for _, server := range status.Servers {
+		fmt.Fprintln(table, serverRow(server, status.Writer))
+	}
+	if len(status.Lagging) > 0 {
+		fmt.Fprintln(table, "\nNODE\tREGION\tREVISION\tLAGS\tHEARD\tREFUSED")
+	}
+	for i, node := range status.Lagging {
+		if i == maxTableRows {
+			fmt.Fprintf(table, "and %d more: see --json\n", len(status.Lagging)-maxTableRows)
+			break
+		}
+		fmt.Fprintln(table, nodeRow(node))
+	}
+	return table.Flush()
+}
+
+func serverRow(server serverReport, writer string) string {
+	if server.Error != "" {
+		return fmt.Sprintf("%s\t%s\t-\t-\tno answer: %s", server.Name, server.Region, server.Error)
+	}
+	state := "follows"
+	switch {
+	case server.Name == writer && server.NotReady != "":
+		state = "not ready: " + server.NotReady
+	case server.Name == writer:
+		state = "takes proposals"
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%s", server.Name, server.Region, versionText(server.Version), server.Nodes, state)
+}
+
+func nodeRow(node laggard) string {
+	bound := ""
+	if node.AtLeast {
+		bound = "over "
+	}
+	reason := ""
+	if node.Refused != nil {
+		reason = versionText(node.Refused.Version) + ": " + node.Refused.Reason
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%s%.0f s\t%.0f s ago\t%s", node.Name, node.Region, versionText(node.Have), bound, node.Lag,
+		node.HeardAgo, reason)
+}
--- a/internal/configfeed/feedhttp/caller.go
+++ b/internal/configfeed/feedhttp/caller.go
@@ -29,7 +29,7 @@
 
 var errAnswerTooLarge = fmt.Errorf("an answer of more than %d bytes", maxAnswerBytes)
 
-// caller sends authenticated requests and checks their answers. It keeps one idle connection at the most.
+// caller sends authenticated requests and checks their answers. It keeps one idle connection to each address.
 type caller struct {
 	authenticator *authenticator
 	transport     *http.Transport
@@ -39,7 +39,7 @@
 
 func newCaller(a *authenticator, via map[string]string) *caller {
 	c := &caller{authenticator: a, via: via}
-	c.transport = &http.Transport{DialContext: c.traffic.dial, DisableCompression: true, MaxIdleConns: 1,
+	c.transport = &http.Transport{DialContext: c.traffic.dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 		IdleConnTimeout: idleConnection, ReadBufferSize: connectionBuffer, WriteBufferSize: connectionBuffer,
 		MaxResponseHeaderBytes: maxAnswerHeadSize}
 	return c
--- a/internal/configfeed/feedhttp/follower.go
+++ b/internal/configfeed/feedhttp/follower.go
@@ -35,6 +35,7 @@
 	core    *configfeed.Follower
 	loop    *loop[configfeed.FollowerEffect]
 	poller  *poller
+	server  string // that is polled; owned by the loop's goroutine
 	view    atomic.Pointer[configfeed.FollowerView]
 }
 
@@ -72,7 +73,7 @@
 func (f *Follower) polled(request uint64, u configfeed.Update, err error) {
 	f.loop.post(func(now float64) []configfeed.FollowerEffect {
 		switch {
-		case !f.poller.finish(request):
+		case !f.poller.finish(request, err):
 			return nil
 		case err != nil:
 			return f.core.Failed(now, request)
@@ -84,6 +85,7 @@
 func (f *Follower) carryOut(e configfeed.FollowerEffect) []configfeed.FollowerEffect {
 	switch e := e.(type) {
 	case configfeed.SendPoll:
+		f.turnTo(e.Server)
 		f.poller.send(e)
 	case configfeed.CancelPoll:
 		f.poller.cancel(e.Request)
@@ -93,6 +95,17 @@
 	return nil
 }
 
+// turnTo notes whom the follower polls. The connection to the server before is not kept.
+func (f *Follower) turnTo(server configfeed.ServerAddress) {
+	if server.Name == f.server {
+		return
+	}
+	f.options.Log.Info().Str("control_server", server.Name).Str("address", server.Address).Str("was", f.server).
+		Msg("follows a control server")
+	f.server = server.Name
+	f.poller.caller.closeIdle()
+}
+
 // install puts a state in force and reports to the core.
 func (f *Follower) install(e configfeed.Install) []configfeed.FollowerEffect {
 	version := e.State.Version
--- a/internal/configfeed/feedhttp/poller.go
+++ b/internal/configfeed/feedhttp/poller.go
@@ -28,30 +28,27 @@
 	caller  *caller
 	log     zerolog.Logger
 	report  func(request uint64, u configfeed.Update, err error) // runs on the poll's goroutine
-	cancels map[uint64]context.CancelFunc
-	server  string // that was polled last
+	polls   map[uint64]sentPoll
+	failing map[string]bool // the servers whose last poll failed, by name
 	running sync.WaitGroup
 }
 
+// sentPoll is a poll that is waited for.
+type sentPoll struct {
+	server string
+	cancel context.CancelFunc
+}
+
 func newPoller(c *caller, log zerolog.Logger, report func(uint64, configfeed.Update, error)) *poller {
-	return &poller{caller: c, log: log, report: report, cancels: map[uint64]context.CancelFunc{}}
+	return &poller{caller: c, log: log, report: report, polls: map[uint64]sentPoll{}, failing: map[string]bool{}}
 }
 
 // send begins a poll.
 func (p *poller) send(s configfeed.SendPoll) {
-	if s.Server.Name != p.server {
-		p.log.Info().Str("server", s.Server.Name).Str("address", s.Server.Address).Str("was", p.server).
-			Msg("follows a control server")
-		p.server = s.Server.Name
-		p.caller.closeIdle()
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Timeout*float64(time.Second)))
-	p.cancels[s.Request] = cancel
+	p.polls[s.Request] = sentPoll{server: s.Server.Name, cancel: cancel}
 	p.running.Go(func() {
 		update, err := p.poll(ctx, s)
-		if err != nil {
-			p.log.Debug().Err(err).Str("server", s.Server.Name).Msg("poll failed")
-		}
 		p.report(s.Request, update, err)
 	})
 }
@@ -70,22 +67,38 @@
 
 // cancel ends a poll that is not waited for any more.
 func (p *poller) cancel(request uint64) {
-	if cancel, found := p.cancels[request]; found {
-		cancel()
-		delete(p.cancels, request)
+	if poll, found := p.polls[request]; found {
+		poll.cancel()
+		delete(p.polls, request)
 	}
 }
 
-// finish tells whether a poll that has ended is still waited for, and forgets it.
-func (p *poller) finish(request uint64) bool {
-	_, waitedFor := p.cancels[request]
+// finish takes the end of a poll. It tells whether the poll is still waited for.
+func (p *poller) finish(request uint64, err error) bool {
+	poll, waitedFor := p.polls[request]
+	if !waitedFor {
+		return false
+	}
 	p.cancel(request)
-	return waitedFor
+	p.observe(poll.server, err)
+	return true
+}
+
+// observe writes to the log when a server begins or ceases to answer.
+func (p *poller) observe(server string, err error) {
+	switch {
+	case err != nil && !p.failing[server]:
+		p.failing[server] = true
+		p.log.Warn().Err(err).Str("control_server", server).Msg("a control server does not answer")
+	case err == nil && p.failing[server]:
+		delete(p.failing, server)
+		p.log.Info().Str("control_server", server).Msg("a control server answers again")
+	}
 }
 
 // stop ends all polls and waits for their goroutines, once the loop has stopped.
 func (p *poller) stop() {
-	for request := range p.cancels {
+	for request := range p.polls {
 		p.cancel(request)
 	}
 	p.running.Wait()
--- a/internal/configfeed/feedhttp/server.go
+++ b/internal/configfeed/feedhttp/server.go
@@ -156,7 +156,7 @@
 func (s *Server) polled(request uint64, u configfeed.Update, err error) {
 	s.loop.post(func(now float64) []configfeed.ServerEffect {
 		switch {
-		case !s.poller.finish(request):
+		case !s.poller.finish(request, err):
 			return nil
 		case err != nil:
 			return s.core.Failed(now, request)
