Tests of control over HTTP, and a check of the log in a process of its own

Server and follower had been tried by hand only. A trial with single bytes of the log changed showed that the library goes round for minutes or reads beyond the file on another goroutine, which nothing can catch.

--- /dev/null
+++ b/cmd/gorsecontrol/checklog.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gorseledge/internal/configfeed/feedstore"
+)
+
+const (
+	checkLogName    = "check-log"
+	checkLogTimeout = 30 * time.Second
+	checkLogStack   = 64 << 20 // bytes; a damaged file can send the library round in circles
+)
+
+func checkLogCommand() *cobra.Command {
+	return &cobra.Command{Use: checkLogName + " DIRECTORY", Short: "Check the log of a server that does not run, or a copy of it",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			debug.SetMaxStack(checkLogStack)
+			debug.SetTraceback("none")
+			if err := feedstore.Check(args[0]); err != nil {
+				return &refusedError{cause: err}
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "good")
+			return nil
+		}}
+}
+
+// checkLog checks a log in a process of its own, which may end badly where the file is damaged.
+func checkLog(ctx context.Context, directory string) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkLogTimeout)
+	defer cancel()
+	check := exec.CommandContext(ctx, program, checkLogName, directory)
+	var said bytes.Buffer
+	check.Stderr = &said
+	err = check.Run()
+	exit := (*exec.ExitError)(nil)
+	switch {
+	case err == nil:
+		return nil
+	case ctx.Err() != nil:
+		return fmt.Errorf("%s: the file is damaged: it was not checked within %v", directory, checkLogTimeout)
+	case errors.As(err, &exit) && exit.ExitCode() == exitRefused:
+		return errors.New(strings.TrimPrefix(strings.TrimSpace(said.String()), errorPrefix))
+	}
+	line, _, _ := strings.Cut(said.String(), "\n")
+	return fmt.Errorf("%s: the file is damaged: %v: %s", directory, err, line)
+}
--- a/cmd/gorsecontrol/main.go
+++ b/cmd/gorsecontrol/main.go
@@ -24,6 +24,8 @@
 	exitBadInput = 2 // the command line or a file is wrong
 )
 
+const errorPrefix = "gorsecontrol: "
+
 // commandTimeout bounds what a command waits for.
 const commandTimeout = 20 * time.Second
 
@@ -32,7 +34,7 @@
 	err := root().ExecuteContext(ctx)
 	stop()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "gorsecontrol:", err)
+		fmt.Fprintln(os.Stderr, errorPrefix+err.Error())
 		os.Exit(exitCode(err))
 	}
 }
@@ -113,7 +115,7 @@
 		SilenceUsage: true, SilenceErrors: true}
 	top.PersistentFlags().StringVar(&s.path, "control", os.Getenv(controlFileVariable),
 		"the control file, of any server ("+controlFileVariable+")")
-	top.AddCommand(serveCommand(), checkCommand(), applyCommand(s), revertCommand(s), newEpochCommand(s), statusCommand(s),
+	top.AddCommand(serveCommand(), checkCommand(), checkLogCommand(), applyCommand(s), revertCommand(s), newEpochCommand(s), statusCommand(s),
 		historyCommand(s))
 	return top
 }
--- a/cmd/gorsecontrol/serve.go
+++ b/cmd/gorsecontrol/serve.go
@@ -45,8 +45,11 @@
 		}}
 }
 
-// serve opens the log, then the address, and answers until the context ends.
+// serve checks and opens the log, then the address, and answers until the context ends.
 func serve(ctx context.Context, config controlfile.Config, log zerolog.Logger) error {
+	if err := checkLog(ctx, config.Directory); err != nil {
+		return err
+	}
 	store, stored, err := feedstore.Open(config.Directory)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/configfeed/feedhttp/fleet_test.go
@@ -0,0 +1,156 @@
+package feedhttp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"gorseledge/internal/configfeed"
+	"gorseledge/internal/configfeed/feedstore"
+)
+
+const patience = 20 * time.Second // for what has to come in the end
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testKeys = [][]byte{[]byte("a key of sixteen or more")}
+
+const testFleet = "lima"
+
+// testServer is a control server on loopback.
+type testServer struct {
+	name, address string
+	directory     string
+	stop          func()
+}
+
+// testServers is several control servers; the first one is the writer.
+type testServers struct {
+	t       *testing.T
+	all     []*testServer
+	address []configfeed.ServerAddress
+}
+
+// startServers starts that many servers, each in a region of its own.
+func startServers(t *testing.T, count int) *testServers {
+	t.Helper()
+	f := &testServers{t: t}
+	var listeners []net.Listener
+	for i := range count {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.7.0.%d:0", i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		name := fmt.Sprint("c", i+1)
+		f.all = append(f.all, &testServer{name: name, address: listener.Addr().String(), directory: t.TempDir()})
+		f.address = append(f.address, configfeed.ServerAddress{Name: name, Address: listener.Addr().String(), Region: fmt.Sprint("r", i+1)})
+	}
+	for i, server := range f.all {
+		f.start(server, listeners[i])
+	}
+	f.untilReady()
+	return f
+}
+
+func (f *testServers) start(s *testServer, listener net.Listener) {
+	f.t.Helper()
+	store, stored, err := feedstore.Open(s.directory)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	config := configfeed.ServerConfig{Name: s.name, Servers: f.address, Writer: f.all[0].name, Seed: 1}
+	server := NewServer(ServerOptions{Fleet: testFleet, Keys: testKeys, Config: config, Log: zerolog.Nop(), Store: store, Stored: stored})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	s.stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			f.t.Errorf("%s: %v", s.name, err)
+		}
+		store.Close()
+	})
+	f.t.Cleanup(s.stop)
+}
+
+func (f *testServers) client() *Client {
+	c := NewClient(testFleet, testKeys, nil)
+	f.t.Cleanup(c.Close)
+	return c
+}
+
+func (f *testServers) writer() string { return f.all[0].address }
+
+// eventually waits until something holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func (f *testServers) untilReady() {
+	f.t.Helper()
+	eventually(f.t, "the writer is ready", func() bool { return strings.HasPrefix(get(f.t, f.writer(), "/-/ready"), "yes") })
+}
+
+// plainTransport keeps no connection.
+var plainTransport = &http.Transport{DisableKeepAlives: true}
+
+// get makes a call as operators' tools do.
+func get(t *testing.T, address, path string) string {
+	t.Helper()
+	answer, err := (&http.Client{Transport: plainTransport, Timeout: patience}).Get("http://" + address + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// metric reads a figure of a server.
+func metric(t *testing.T, address, name string) string {
+	t.Helper()
+	_, rest, found := strings.Cut(get(t, address, "/-/metrics"), "control."+name+":")
+	if !found {
+		t.Fatalf("there is no figure %s", name)
+	}
+	value, _, _ := strings.Cut(rest, "|")
+	return value
+}
+
+func entry(value int) []configfeed.Entry {
+	return []configfeed.Entry{{Key: "nodes", Value: fmt.Sprint(value)}}
+}
+
+func version(epoch, revision uint64) configfeed.Version {
+	return configfeed.Version{Epoch: epoch, Revision: revision}
+}
+
+// apply proposes a value at the writer and gives the outcome.
+func (f *testServers) apply(c *Client, id string, expected configfeed.Version, value int) configfeed.Outcome {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	outcome, err := c.Apply(ctx, f.writer(), configfeed.Proposal{ID: id, IfVersion: expected, Entries: entry(value), Author: "test"})
+	if err != nil {
+		f.t.Error(err)
+	}
+	return outcome
+}
--- /dev/null
+++ b/internal/configfeed/feedhttp/follower_test.go
@@ -0,0 +1,118 @@
+package feedhttp
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"gorseledge/internal/configfeed"
+)
+
+// testFollower is a node's follower and what it has put in force.
+type testFollower struct {
+	*Follower
+	mu     sync.Mutex
+	values []string
+	refuse bool
+}
+
+// follow starts a follower in a region; it stops with the test.
+func (f *testServers) follow(name, region string, refuse bool) *testFollower {
+	n := &testFollower{refuse: refuse}
+	n.Follower = NewFollower(FollowerOptions{Fleet: testFleet, Keys: testKeys, Log: zerolog.Nop(), Install: n.install,
+		Config: configfeed.FollowerConfig{Name: name, Region: region, Servers: f.address, Seed: 7}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			f.t.Errorf("%s: %v", name, err)
+		}
+	})
+	return n
+}
+
+func (n *testFollower) install(state configfeed.State, changed []string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refuse {
+		return errors.New("this node\ndoes not take it")
+	}
+	for _, e := range state.Entries {
+		n.values = append(n.values, e.Value)
+	}
+	return nil
+}
+
+func TestAFollowerGetsEachRevision(t *testing.T) {
+	f := startServers(t, 3)
+	n := f.follow("n1", "r2", false)
+	client := f.client()
+	for i := range 3 {
+		f.apply(client, NewProposalID(), version(min(uint64(i), 1), uint64(i)), i)
+		eventually(t, "the revision is in force", func() bool { return n.View().Version == version(1, uint64(i)+1) })
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.values) != 3 || n.values[2] != "2" {
+		t.Errorf("%v", n.values)
+	}
+	traffic := n.Traffic()
+	if traffic.Answers < 3 || traffic.Requests < traffic.Answers || traffic.BytesSent == 0 || traffic.BytesReceived == 0 {
+		t.Errorf("%+v", traffic)
+	}
+}
+
+func TestAFollowerTurnsToAnotherServerWhenItsOwnStops(t *testing.T) {
+	f := startServers(t, 3)
+	n := f.follow("n1", "r2", false)
+	client := f.client()
+	f.apply(client, NewProposalID(), version(0, 0), 1)
+	eventually(t, "the first revision is in force", func() bool { return n.View().Version == version(1, 1) })
+	if server := n.View().Server; server != "c2" {
+		t.Fatalf("it follows %s, and c2 is in its region", server)
+	}
+	f.all[1].stop()
+	f.apply(client, NewProposalID(), version(1, 1), 2)
+	eventually(t, "the second revision is in force", func() bool { return n.View().Version == version(1, 2) })
+	if server := n.View().Server; server == "c2" {
+		t.Error("it follows a server that has stopped")
+	}
+}
+
+func TestARefusedRevisionIsShownAtTheServer(t *testing.T) {
+	f := startServers(t, 1)
+	f.follow("n1", "r1", true)
+	client := f.client()
+	f.apply(client, NewProposalID(), version(0, 0), 1)
+	eventually(t, "the refusal is known", func() bool {
+		status, err := client.Status(t.Context(), f.writer())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, follower := range status.Followers {
+			if follower.Name == "n1" && follower.Refused != nil {
+				return *follower.Refused == configfeed.Refusal{Version: version(1, 1), Reason: "this node does not take it"} &&
+					follower.Have == version(0, 0)
+			}
+		}
+		return false
+	})
+}
+
+func TestManyFollowersShareOneProcess(t *testing.T) {
+	f := startServers(t, 1)
+	var all []*testFollower
+	for i := range 50 {
+		all = append(all, f.follow(string(rune('A'+i)), "r1", false))
+	}
+	client := f.client()
+	f.apply(client, NewProposalID(), version(0, 0), 1)
+	for _, n := range all {
+		eventually(t, "the revision is in force everywhere", func() bool { return n.View().Version == version(1, 1) })
+	}
+}
--- a/internal/configfeed/feedstore/feedstore.go
+++ b/internal/configfeed/feedstore/feedstore.go
@@ -35,6 +35,8 @@
 	historyPrefix = []byte("revision ")
 )
 
+var errOpenElsewhere = errors.New("another process has it open")
+
 // Store is the open log. At may be called from any goroutine, Save from one at a time.
 type Store struct {
 	db     *bbolt.DB
@@ -42,7 +44,7 @@
 }
 
 // Open opens the log in a directory, or begins one where there is none, and gives what it holds. A file that is cut
-// short or changed is an error that names it.
+// short or changed is an error that names it, as far as that shows without the risks of Check.
 func Open(directory string) (*Store, configfeed.Stored, error) {
 	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return nil, configfeed.Stored{}, err
@@ -55,7 +57,7 @@
 	return store, stored, nil
 }
 
-// open reads all of the file before anything relies on it. The library panics, or reads beyond the file's end, where
+// open reads all records before anything relies on them. The library may panic, or read beyond the file's end, where
 // pages are not what they should be: both become errors here.
 func open(path string) (store *Store, stored configfeed.Stored, err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
@@ -71,7 +73,7 @@
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
 	switch {
 	case errors.Is(err, bbolterrors.ErrTimeout):
-		return nil, stored, errors.New("another process has it open")
+		return nil, stored, errOpenElsewhere
 	case err != nil:
 		return nil, stored, err
 	}
--- a/internal/configfeed/feedstore/feedstore_test.go
+++ b/internal/configfeed/feedstore/feedstore_test.go
@@ -63,9 +63,8 @@
 	}
 	w := &writer{t: t}
 	w.save(store, 3)
-	second, r2 := w.next()
+	_, r2 := w.next()
 	third, r3 := w.next()
-	_ = second
 	if err := store.Save(third, []configfeed.Revision{r2, r3}); err != nil {
 		t.Fatal(err)
 	}
