Scale run: hollow nodes take the options of a fleet's part

Cause: the merge of the nodes' side of control gave a fleet's part its options as one struct. Change: hollow nodes and the tests of a fleet's part use it.

--- a/internal/fleet/traffic_test.go
+++ b/internal/fleet/traffic_test.go
@@ -47,7 +47,7 @@
 	for i, own := range addresses {
 		c := Config{Fleet: "lima", Address: own, Join: addresses, Period: period, keys: [][]byte{[]byte("one key of sixteen")},
 			Key: fmt.Sprintf("%x", "one key of sixteen")}
-		f := New(c, fmt.Sprintf("n%d", i), "", uint64(i), nodes, zerolog.Nop(), nil, nil)
+		f := New(c, view.Options{Name: fmt.Sprintf("n%d", i), Seed: uint64(i), Settled: nodes, Log: zerolog.Nop()})
 		if prepare != nil {
 			prepare(i, f)
 		}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -169,7 +169,8 @@
 		return memberFacts{}, err
 	}
 	log := zerolog.New(io.Discard).With().Timestamp().Str("node", n.Name).Logger()
-	part := fleet.New(file, n.Name, n.Build, n.Seed, n.Settled, log, func(int) {}, nil)
+	part := fleet.New(file, view.Options{Name: n.Name, Build: n.Build, Seed: n.Seed, Settled: n.Settled, Log: log,
+		Nodes: func(int) {}})
 	part.Observe(func(c membership.Changed) { p.watch.see(n.Name, c.Name, c.State) })
 	part.Filter(func(at netip.AddrPort) bool {
 		region, known := p.regions[at]
