Scale run: control servers, changes of the configuration, and a fleet that is at rest

Cause: the run had no control servers, and took a fleet for at rest whose members still exchanged whole states. The measurement at rest waits until all nodes know the same and tell nothing new.

--- a/internal/emulator/members/resting.go
+++ b/internal/emulator/members/resting.go
@@ -11,9 +11,12 @@
 
 const mostBody = 208 // bytes of a message that introduces members, as of any other
 
-// Resting measures a fleet at rest whose members were introduced to each other, once they know each other and tell
-// of no more than so many members each, in the mean. CPU and memory are left out.
-func Resting(ctx context.Context, o Options, news, periods float64) (r Rest, err error) {
+// RestNews is how many members a node may still tell of, in the mean, in a fleet at rest.
+const RestNews = 0.1
+
+// Resting measures a fleet whose members were introduced to each other, over so many periods: at rest, once all know the
+// same and tell each other nothing new, or else once they know each other. CPU and memory are left out.
+func Resting(ctx context.Context, o Options, atRest bool, periods float64) (r Rest, err error) {
 	w := New(o)
 	w.introduce()
 	for limit := w.Now + 1000*w.Period; ; {
@@ -21,7 +24,7 @@
 		if err := ctx.Err(); err != nil {
 			return r, err
 		}
-		if _, agree := w.Agree(); agree && w.news() <= news*float64(o.Nodes) {
+		if _, agree := w.Agree(); agree && (!atRest || w.same() && w.news() <= RestNews*float64(o.Nodes)) {
 			break
 		}
 		if w.Now > limit {
@@ -69,6 +72,16 @@
 	tell()
 }
 
+// same tells whether all nodes know the same.
+func (w *World) same() bool {
+	for _, x := range w.nodes {
+		if x.Digest() != w.nodes[0].Digest() {
+			return false
+		}
+	}
+	return true
+}
+
 // news is how many members all nodes together still tell of.
 func (w *World) news() (n float64) {
 	for _, x := range w.nodes {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -343,6 +343,13 @@
 	return f.core.Living()
 }
 
+// Digest is the same at two nodes that know the same of the same members.
+func (f *Fleet) Digest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.Digest()
+}
+
 // News is how many members this node still tells others of; none in a fleet at rest.
 func (f *Fleet) News() int {
 	f.mu.Lock()
@@ -371,6 +378,14 @@
 	return f.traffic.all()
 }
 
+// Config is what this node knows of the configuration that is distributed; nil where it follows no control servers.
+func (f *Fleet) Config() *view.Config {
+	if f.configuration == nil {
+		return nil
+	}
+	return f.configuration.view()
+}
+
 // View gives what this node knows of its fleet now.
 func (f *Fleet) View() view.View {
 	f.mu.Lock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -358,6 +358,9 @@
 	return all
 }
 
+// Digest is the same at two nodes that know the same of the same members.
+func (m *Members) Digest() uint64 { return m.hash() }
+
 // hash is the same at two nodes that know the same of the same members.
 func (m *Members) hash() (sum uint64) {
 	var buf []byte
--- a/internal/rig/nodes.go
+++ b/internal/rig/nodes.go
@@ -130,4 +130,10 @@
 // View asks the node for what it knows of its fleet.
 func (n *Node) View(ctx context.Context) (view.View, error) { return n.node.rig.view(ctx, n.node) }
 
+// Config asks the node for the configuration that it has in force.
+func (n *Node) Config(ctx context.Context) (c view.Config, err error) {
+	err = n.node.rig.ask(ctx, n.node, "/-/config", &c)
+	return c, err
+}
+
 func (n *Node) String() string { return fmt.Sprint(n.node.name()) }
--- a/internal/rig/views.go
+++ b/internal/rig/views.go
@@ -16,17 +16,25 @@
 
 // view asks a node for what it knows of its fleet.
 func (r *Rig) view(ctx context.Context, n *node) (v view.View, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin+"/-/members", nil)
+	err = r.ask(ctx, n, "/-/members", &v)
+	return v, err
+}
+
+// ask puts a call to a node's second address and decodes the answer into v.
+func (r *Rig) ask(ctx context.Context, n *node, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin+path, nil)
 	if err != nil {
-		return v, err
+		return err
 	}
 	res, err := r.client.Do(req)
 	if err != nil {
-		return v, err
+		return err
 	}
 	defer res.Body.Close()
-	err = json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(&v)
-	return v, err
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s: %s", n.admin, path, res.Status)
+	}
+	return json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(v)
 }
 
 // answer is what a node that runs said when it was asked for its view.
--- a/internal/scale/chart.go
+++ b/internal/scale/chart.go
@@ -42,7 +42,7 @@
 func (s Series) Fit() Fit { return fitLine(s.Nodes, s.Value) }
 
 var kindColors = map[Kind]color.RGBA{Hollow: {60, 100, 200, 255}, Real: {200, 30, 30, 255}, Virtual: {40, 150, 60, 255},
-	Fleet: {120, 60, 160, 255}}
+	Fleet: {120, 60, 160, 255}, Server: {230, 140, 20, 255}}
 
 // Chart draws, as SVG, a cost in a phase against the size: the points of each kind, their fitted line, and as thin
 // strokes what the line leaves over. Series of other costs and phases are left out.
--- /dev/null
+++ b/internal/scale/control.go
@@ -0,0 +1,275 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"gorseledge/internal/configfeed"
+	"gorseledge/internal/configfeed/controlfile"
+	"gorseledge/internal/rig"
+)
+
+const (
+	controlPort    = 7100
+	serveWithin    = 30 * time.Second // for the control servers to be ready after a start
+	controlLookGap = 50 * time.Millisecond
+)
+
+// controls are the control servers of a run, processes of the built program. Every region reaches every server by one
+// relay, so that it can be cut off.
+type controls struct {
+	plan    *Plan
+	dir     string
+	program string
+	servers []*controlServer
+	relays  map[regionServer]*rig.Relay
+	client  http.Client
+	changes int // documents that were written
+}
+
+// regionServer is a way from a region to a server.
+type regionServer struct{ region, server int }
+
+// controlServer is one of them.
+type controlServer struct {
+	name    string
+	address string
+	region  int
+	file    string // its control file
+	log     string
+	mu      sync.Mutex
+	cmd     *exec.Cmd // nil while it does not run
+}
+
+func regionName(region int) string { return fmt.Sprintf("r%d", region) }
+
+// startControls starts as many control servers in each region as the script says. The first is the writer.
+func startControls(ctx context.Context, s *Script, p *Plan, program, dir string, seed uint64) (c *controls, err error) {
+	c = &controls{plan: p, dir: dir, program: program, relays: map[regionServer]*rig.Relay{},
+		client: http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	defer func() {
+		if err != nil {
+			c.close()
+		}
+	}()
+	for region, servers := range s.Control {
+		for range servers {
+			i := len(c.servers)
+			c.servers = append(c.servers, &controlServer{name: fmt.Sprintf("c%d", i+1), region: region,
+				address: fmt.Sprintf("127.%d.254.%d:%d", p.network, i+1, controlPort),
+				file:    filepath.Join(dir, fmt.Sprintf("c%d.toml", i+1)), log: filepath.Join(dir, fmt.Sprintf("c%d.log", i+1))})
+		}
+	}
+	for region := range s.ZonesOf {
+		for i, server := range c.servers {
+			if c.relays[regionServer{region, i}], err = rig.NewRelay(server.address, seed*10000+uint64(100*region+i)); err != nil {
+				return c, err
+			}
+		}
+	}
+	for i := range c.servers {
+		if err := c.write(i); err != nil {
+			return c, err
+		}
+	}
+	if err := c.startAll(); err != nil {
+		return c, err
+	}
+	return c, c.ready(ctx)
+}
+
+// via is where a region reaches the servers.
+func (c *controls) via(region int) map[string]string {
+	out := map[string]string{}
+	for i, server := range c.servers {
+		out[server.address] = c.relays[regionServer{region, i}].Address()
+	}
+	return out
+}
+
+// write writes a server's control file.
+func (c *controls) write(i int) error {
+	own := c.servers[i]
+	file := controlfile.Config{Fleet: c.plan.ID, Name: own.name, Key: c.plan.Key, Directory: filepath.Join(c.dir, own.name),
+		Writer: c.servers[0].name, Via: c.via(own.region)}
+	for _, server := range c.servers {
+		file.Servers = append(file.Servers, controlfile.Server{Name: server.name, Address: server.address, Region: regionName(server.region)})
+	}
+	delete(file.Via, own.address)
+	text, err := toml.Marshal(file)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(file.Directory, 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(own.file, text, 0o600)
+}
+
+func (c *controls) startAll() error {
+	for _, server := range c.servers {
+		if err := server.start(c.program); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start starts the server where it does not run; its log goes to a file.
+func (s *controlServer) start(program string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(s.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close() // the process has a descriptor of its own
+	cmd := exec.Command(program, "serve", s.file)
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	s.cmd = cmd
+	return nil
+}
+
+// end ends the server by a signal and waits for it.
+func (s *controlServer) end(signal syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cmd == nil {
+		return
+	}
+	s.cmd.Process.Signal(syscall.SIGCONT) // one that is stopped hears nothing else
+	s.cmd.Process.Signal(signal)
+	kill := time.AfterFunc(endWithin, func() { s.cmd.Process.Kill() })
+	defer kill.Stop()
+	s.cmd.Wait()
+	s.cmd = nil
+}
+
+// signal sends the server a signal that does not end it.
+func (s *controlServer) signal(signal syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cmd != nil {
+		s.cmd.Process.Signal(signal)
+	}
+}
+
+func (s *controlServer) pid() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cmd == nil {
+		return 0
+	}
+	return s.cmd.Process.Pid
+}
+
+func (c *controls) pids() (out []int) {
+	if c == nil {
+		return nil
+	}
+	for _, server := range c.servers {
+		if pid := server.pid(); pid != 0 {
+			out = append(out, pid)
+		}
+	}
+	return out
+}
+
+// ready waits until every server that runs says that it is.
+func (c *controls) ready(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, serveWithin)
+	defer stop()
+	for _, server := range c.servers {
+		for server.pid() != 0 && !c.isReady(ctx, server) {
+			if err := sleep(ctx, controlLookGap.Seconds()); err != nil {
+				return fmt.Errorf("control server %s is not ready: %w; %s", server.name, err, lastLine(server.log))
+			}
+		}
+	}
+	return nil
+}
+
+func (c *controls) isReady(ctx context.Context, server *controlServer) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.address+"/-/ready", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := c.client.Do(req)
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+func lastLine(path string) string {
+	text, _ := os.ReadFile(path)
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// apply has an operator's command put a new document in force, and gives its version.
+func (c *controls) apply(ctx context.Context, was configfeed.Version) (v configfeed.Version, err error) {
+	c.changes++
+	document := filepath.Join(c.dir, fmt.Sprintf("live-%d.toml", c.changes))
+	// Each differs from the one before, by a figure that moves no flow of a run.
+	text := fmt.Sprintf("retry_advice_s = %d.5\n", 1+c.changes%9)
+	if err := os.WriteFile(document, []byte(text), 0o644); err != nil {
+		return v, err
+	}
+	cmd := exec.CommandContext(ctx, c.program, "apply", document, "--control", c.servers[0].file,
+		"--if-revision", fmt.Sprintf("%d.%d", was.Epoch, was.Revision))
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return v, fmt.Errorf("apply: %w: %s", err, strings.TrimSpace(string(out)))
+	}
+	if _, err := fmt.Sscanf(string(out), "revision %d of epoch %d", &v.Revision, &v.Epoch); err != nil {
+		return v, fmt.Errorf("apply says %q", out)
+	}
+	return v, nil
+}
+
+// cut cuts the ways between regions, or mends them all.
+func (c *controls) cut(network *cutNetwork) {
+	if c == nil {
+		return
+	}
+	for way, relay := range c.relays {
+		cut := network.drops(way.region, c.servers[way.server].region)
+		relay.Set(func(w *rig.Way) { w.Cut = cut })
+	}
+}
+
+// close ends everything and waits for it.
+func (c *controls) close() {
+	if c == nil {
+		return
+	}
+	var all sync.WaitGroup
+	for _, server := range c.servers {
+		all.Go(func() { server.end(syscall.SIGTERM) })
+	}
+	all.Wait()
+	for _, relay := range c.relays {
+		if relay != nil {
+			relay.Close()
+		}
+	}
+	c.client.CloseIdleConnections()
+}
--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -208,7 +208,12 @@
 
 // cut cuts regions off from the others, or mends all ways.
 func (r *run) cut(regions []int) error {
-	r.reals.cut(regions)
+	network := &cutNetwork{regions: map[int]bool{}}
+	for _, region := range regions {
+		network.regions[region] = true
+	}
+	r.reals.cut(network)
+	r.controls.cut(network)
 	_, err := r.hollows.all(request{Kind: requestCut, CutRegions: regions})
 	return err
 }
--- a/internal/scale/guard.go
+++ b/internal/scale/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -17,7 +18,7 @@
 func (r *run) guard(ctx context.Context, end context.CancelCauseFunc) {
 	minutes, told := r.script.TotalMinutes, time.Now()
 	for sleep(ctx, guardGap.Seconds()) == nil {
-		processes := append(append(r.reals.pids(), r.hollows.pids()...), os.Getpid())
+		processes := slices.Concat(r.reals.pids(), r.hollows.pids(), r.controls.pids(), []int{os.Getpid()})
 		var memory float64
 		for _, pid := range processes {
 			if u, err := usageOf(pid); err == nil { // it may have ended meanwhile
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -18,9 +18,11 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rs/zerolog"
 
+	"gorseledge/internal/configfeed"
 	"gorseledge/internal/fleet"
 	"gorseledge/internal/fleet/view"
 	"gorseledge/internal/membership"
+	"gorseledge/internal/node/live"
 )
 
 const watchGap = 250 * time.Millisecond // between two looks at whether members are back
@@ -31,6 +33,7 @@
 	ctx     context.Context
 	change  func(*hollowNode)
 	watch   *watch
+	inForce *inForce
 	cut     atomic.Pointer[cutNetwork]
 	regions map[netip.AddrPort]int
 	mu      sync.Mutex // over nodes
@@ -63,7 +66,7 @@
 // serveHollow is ServeHollow with a change to every node before it starts, for a test's wrong nodes.
 func serveHollow(ctx context.Context, in io.Reader, out io.Writer, change func(*hollowNode)) error {
 	ctx, stop := context.WithCancel(ctx)
-	p := &hollowProcess{ctx: ctx, change: change, watch: newWatch(), nodes: map[string]*hollow{}}
+	p := &hollowProcess{ctx: ctx, change: change, watch: newWatch(), inForce: newInForce(), nodes: map[string]*hollow{}}
 	defer p.group.Wait()
 	defer stop()
 	if c, ok := in.(io.Closer); ok { // so that no read outlasts the context
@@ -129,8 +132,10 @@
 			starts[m.Name] = m.Start
 		}
 		p.watch.expect(starts)
+	case requestChange:
+		p.inForce.begin(r.Version)
 	case requestReport:
-		a.Report = p.report()
+		a.Report = p.report(r.Digests)
 	case requestCheck:
 		a.Wrong, a.First = p.check(r.Expected)
 	default:
@@ -170,7 +175,10 @@
 	}
 	log := zerolog.New(io.Discard).With().Timestamp().Str("node", n.Name).Logger()
 	part := fleet.New(file, view.Options{Name: n.Name, Build: n.Build, Seed: n.Seed, Settled: n.Settled, Log: log,
-		Nodes: func(int) {}})
+		Nodes: func(int) {}, Install: func(_ context.Context, revision live.Revision) ([]string, error) {
+			p.install(n.Name, revision)
+			return nil, nil
+		}})
 	part.Observe(func(c membership.Changed) { p.watch.see(n.Name, c.Name, c.State) })
 	part.Filter(func(at netip.AddrPort) bool {
 		region, known := p.regions[at]
@@ -189,6 +197,23 @@
 	return factsOf(part.Self()), nil
 }
 
+// install takes a revision at a node, where a real one would put it in force between two inputs of its core.
+func (p *hollowProcess) install(name string, r live.Revision) {
+	p.mu.Lock()
+	h := p.nodes[name]
+	p.mu.Unlock()
+	if h == nil { // it has been ended meanwhile
+		return
+	}
+	h.part.InForce(r)
+	p.inForce.installed(name, configfeed.Version{Epoch: r.Epoch, Revision: r.Number}, time.Now())
+}
+
+// traffic is what the node sent and received, of its followers as well.
+func (h *hollow) traffic() []view.Traffic {
+	return addTraffic(h.part.Traffic(), controlTraffic(h.part.Config()))
+}
+
 // end ends nodes and waits for it. A node that does not leave in good order is not heard of again.
 func (p *hollowProcess) end(names []string, leave bool) error {
 	for _, name := range names {
@@ -201,7 +226,7 @@
 		}
 		h.stop()
 		<-h.done
-		p.ended = addTraffic(p.ended, h.part.Traffic())
+		p.ended = addTraffic(p.ended, h.traffic())
 		p.mu.Lock()
 		delete(p.nodes, name)
 		p.mu.Unlock()
@@ -210,14 +235,17 @@
 }
 
 // report sums up what the nodes have spent and know.
-func (p *hollowProcess) report() *report {
-	r := &report{Nodes: len(p.nodes), Traffic: slices.Clone(p.ended), Living: map[int]spread{}}
+func (p *hollowProcess) report(digests bool) *report {
+	r := &report{Nodes: len(p.nodes), Traffic: slices.Clone(p.ended), Living: map[int]spread{}, Digests: map[uint64]int{}}
 	for _, h := range p.nodes {
-		r.Traffic = addTraffic(r.Traffic, h.part.Traffic())
+		r.Traffic = addTraffic(r.Traffic, h.traffic())
 		r.News += h.part.News()
+		if digests {
+			r.Digests[h.part.Digest()]++
+		}
 		r.Living[h.plan.Region] = r.Living[h.plan.Region].with(h.part.Living())
 	}
-	r.Seen = p.watch.seen()
+	r.Seen, r.InForce = p.watch.seen(), p.inForce.times()
 	return r
 }
 
--- a/internal/scale/hollows.go
+++ b/internal/scale/hollows.go
@@ -173,7 +173,9 @@
 	living     map[int]spread
 	nodes      int
 	news       int
+	digests    map[uint64]int // how many nodes have each
 	suspicions int
+	inForce    *hdrhistogram.Histogram
 	gone       *hdrhistogram.Histogram
 	back       *hdrhistogram.Histogram
 }
@@ -186,19 +188,26 @@
 }
 
 // report asks all processes.
-func (h *hollows) report() (k known, err error) {
-	replies, err := h.all(request{Kind: requestReport})
+func (h *hollows) report() (k known, err error) { return h.ask(request{Kind: requestReport}) }
+
+// ask asks all processes for a report.
+func (h *hollows) ask(r request) (k known, err error) {
+	replies, err := h.all(r)
 	if err != nil {
 		return k, err
 	}
-	k = known{living: map[int]spread{}, gone: newTimes(), back: newTimes()}
+	k = known{living: map[int]spread{}, digests: map[uint64]int{}, inForce: newTimes(), gone: newTimes(), back: newTimes()}
 	for _, a := range replies {
 		k.traffic = addTraffic(k.traffic, a.Report.Traffic)
 		for region, s := range a.Report.Living {
 			k.living[region] = k.living[region].merge(s)
 		}
 		k.nodes, k.news = k.nodes+a.Report.Nodes, k.news+a.Report.News
+		for digest, nodes := range a.Report.Digests {
+			k.digests[digest] += nodes
+		}
 		k.see(a.Report.Seen)
+		k.inForce.Merge(hdrhistogram.Import(a.Report.InForce))
 	}
 	k.traffic = slices.Clip(k.traffic)
 	return k, nil
--- a/internal/scale/judge.go
+++ b/internal/scale/judge.go
@@ -58,7 +58,7 @@
 func (r *run) restVirtual(ctx context.Context) (members.Rest, error) {
 	return members.Resting(ctx, members.Options{Nodes: r.result.Size, Seed: r.Seed, Zones: r.script.zones(), Period: r.script.Period,
 		Address: func(i int) string { return r.plan.Nodes[i].Address }, Build: r.build,
-		Size: func(m *wire.Message) int { return fleet.DatagramBytes(proto.Size(m)) }}, restNews, r.script.Rest/r.script.Period)
+		Size: func(m *wire.Message) int { return fleet.DatagramBytes(proto.Size(m)) }}, r.script.AtRest, r.script.Rest/r.script.Period)
 }
 
 // judgeVirtual compares nodes at rest with members on the virtual clock.
@@ -75,7 +75,7 @@
 	r.add(Row{Kind: Virtual, Phase: "rest", Cost: "sent_messages.all", Unit: "1/s", Value: rest.Messages})
 	r.add(Row{Kind: Virtual, Phase: "rest", Cost: "sent_bytes.all", Unit: "B/s", Value: rest.Bytes})
 	r.say("rest, virtual: sent %.2f messages and %.0f bytes a second", rest.Messages, rest.Bytes)
-	h, k := hollow.total(), real.total()
+	h, k := hollow.members(), real.members()
 	r.judgeRatio(RuleVirtual, "virtual over hollow, messages sent", rest.Messages, h.sentMessages)
 	r.judgeRatio(RuleVirtual, "virtual over hollow, bytes sent", rest.Bytes, h.sentBytes)
 	r.judgeRatio(RuleVirtual, "virtual over real, messages sent", rest.Messages, k.sentMessages)
--- a/internal/scale/judge_test.go
+++ b/internal/scale/judge_test.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// A control server's bytes are those of all nodes that follow, the other way round; one that was started meanwhile has no
+// cost.
+func TestCostsOfControlServers(t *testing.T) {
+	before := sample{servers: map[int]usage{1: {1, 1e7}, 2: {1, 1e7}, 3: {1, 1e7}}}
+	after := sample{at: before.at.Add(10e9), servers: map[int]usage{1: {1.1, 2e7}, 2: {1.3, 4e7}, 9: {50, 9e7}}}
+	hollow := costs{nodes: 90, traffic: map[string]rate{controlKind: {1, 100, 1, 200}, "ping": {9, 9, 9, 9}}}
+	real := costs{nodes: 10, traffic: map[string]rate{controlKind: {1, 100, 1, 200}}}
+	c := serverCosts(before, after, hollow, real)
+	if t1 := c.traffic[controlKind]; c.nodes != 2 || !near(c.cpu, 0.02) || c.memory != 3e7 || !near(t1.sentBytes, 10000) ||
+		!near(t1.receivedBytes, 5000) || len(c.traffic) != 1 {
+		t.Errorf("%+v", c)
+	}
+	if c := serverCosts(sample{}, sample{}, hollow, real); c.nodes != 0 || len(c.traffic) != 0 {
+		t.Errorf("without servers: %+v", c)
+	}
+}
+
 func near(a, b float64) bool { return a > b*0.999 && a < b*1.001 }
 
 // A view that lacks a member, or holds one for living that is gone, is told.
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -32,11 +33,14 @@
 
 // Plan is a fleet of one size.
 type Plan struct {
-	ID    string // of the fleet
-	Key   string
-	Nodes []NodePlan
-	hold  net.Listener // keeps the network
-	own   string       // the run's own address
+	ID      string // of the fleet
+	Key     string
+	Nodes   []NodePlan
+	hold    net.Listener          // keeps the network
+	own     string                // the run's own address
+	network int                   // of its addresses
+	control []fleet.ControlServer // that nodes follow; none for not at all
+	via     []map[string]string   // by region, where the control servers are reached
 }
 
 // newPlan plans a fleet: nodes go to the zones in turn, the real ones first, so that every zone has some.
@@ -46,7 +50,7 @@
 		return nil, err
 	}
 	r := rand.New(rand.NewPCG(seed, uint64(size)))
-	p := &Plan{ID: fmt.Sprintf("scale-%d-%d", seed, size), hold: hold, own: fmt.Sprintf("127.%d.255.254:%d", network, port),
+	p := &Plan{network: network, ID: fmt.Sprintf("scale-%d-%d", seed, size), hold: hold, own: fmt.Sprintf("127.%d.255.254:%d", network, port),
 		Key: hex.EncodeToString(fmt.Appendf(nil, "%016x%016x", r.Uint64(), r.Uint64()))}
 	regionOf := map[int]int{}
 	for region, zones := range s.ZonesOf {
@@ -106,6 +110,9 @@
 // file is the fleet file of a node.
 func (p *Plan) file(s *Script, n NodePlan) fleet.Config {
 	c := fleet.Config{Fleet: p.ID, Address: n.Address, Key: p.Key, Zone: n.Zone, Period: s.Period}
+	if len(p.control) > 0 {
+		c.Region, c.Control, c.Via = regionName(n.Region), p.control, maps.Clone(p.via[n.Region])
+	}
 	points := min(joinPoints, len(p.Nodes))
 	for i := range points {
 		c.Join = append(c.Join, p.Nodes[i*len(p.Nodes)/points].Address)
@@ -113,6 +120,18 @@
 	return c
 }
 
+// follow has all nodes follow control servers.
+func (p *Plan) follow(c *controls) {
+	for _, server := range c.servers {
+		p.control = append(p.control, fleet.ControlServer{Name: server.name, Address: server.address, Region: regionName(server.region)})
+	}
+	for _, n := range p.Nodes {
+		for len(p.via) <= n.Region {
+			p.via = append(p.via, c.via(len(p.via)))
+		}
+	}
+}
+
 // introduce tells the nodes at some addresses of all members that run.
 func (p *Plan) introduce(ctx context.Context, members []memberFacts, to []string) error {
 	return fleet.Introduce(ctx, fleet.Config{Fleet: p.ID, Key: p.Key, Address: p.own}, facts(members), to, introducePause)
--- a/internal/scale/protocol.go
+++ b/internal/scale/protocol.go
@@ -1,6 +1,9 @@
 package scale
 
 import (
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gorseledge/internal/configfeed"
 	"gorseledge/internal/fleet"
 	"gorseledge/internal/fleet/view"
 	"gorseledge/internal/membership"
@@ -21,19 +24,22 @@
 	requestWatch   requestKind = "watch"   // Names: when each node knows that they are gone is noted from now on
 	requestMembers requestKind = "members" // what the nodes that run tell of themselves
 	requestReturn  requestKind = "return"  // Members: watched ones that are back, whose start is to become known
+	requestChange  requestKind = "change"  // Version: when nodes have a newer one in force is noted from now on
 	requestReport  requestKind = "report"  // what the process and its nodes have spent and know
 	requestCheck   requestKind = "check"   // Names: those that run and are to be held for living by every node
 )
 
 // request is one line to a hollow process.
 type request struct {
-	Kind       requestKind    `json:"kind"`
-	Nodes      []hollowNode   `json:"nodes,omitempty"`
-	Names      []string       `json:"names,omitempty"`
-	Members    []memberFacts  `json:"members,omitempty"`
-	Regions    map[string]int `json:"regions,omitempty"`
-	CutRegions []int          `json:"cut_regions,omitempty"`
-	Expected   []expectation  `json:"expected,omitempty"`
+	Kind       requestKind        `json:"kind"`
+	Nodes      []hollowNode       `json:"nodes,omitempty"`
+	Names      []string           `json:"names,omitempty"`
+	Members    []memberFacts      `json:"members,omitempty"`
+	Regions    map[string]int     `json:"regions,omitempty"`
+	Digests    bool               `json:"digests,omitempty"` // report: with the digests of what nodes know
+	Version    configfeed.Version `json:"version,omitzero"`
+	CutRegions []int              `json:"cut_regions,omitempty"`
+	Expected   []expectation      `json:"expected,omitempty"`
 }
 
 // hollowNode is what a hollow process needs to start one.
@@ -87,11 +93,13 @@
 
 // report is what a hollow process and its nodes have spent since their start, and what they know.
 type report struct {
-	Nodes   int            `json:"nodes"` // that run
-	Traffic []view.Traffic `json:"traffic"`
-	Living  map[int]spread `json:"living"` // by region: how many members its nodes hold for living
-	News    int            `json:"news"`   // members that the nodes still tell of, over all nodes
-	Seen    seen           `json:"seen"`
+	Nodes   int                    `json:"nodes"` // that run
+	Traffic []view.Traffic         `json:"traffic"`
+	Living  map[int]spread         `json:"living"`            // by region: how many members its nodes hold for living
+	News    int                    `json:"news"`              // members that the nodes still tell of, over all nodes
+	Digests map[uint64]int         `json:"digests,omitempty"` // how many nodes have each
+	Seen    seen                   `json:"seen"`
+	InForce *hdrhistogram.Snapshot `json:"in_force"` // milliseconds, one for each node
 }
 
 // spread is the least and the most of a figure.
--- a/internal/scale/reals.go
+++ b/internal/scale/reals.go
@@ -20,6 +20,7 @@
 	of      []*real
 	relays  map[[2]int]*rig.Relay
 	watch   *watch
+	inForce *inForce
 	mu      sync.Mutex
 	exits   []string // of processes that nobody ended
 	stopped map[int]bool
@@ -35,7 +36,7 @@
 
 // startReals starts the plan's real nodes; nothing of it is left running where it gives an error.
 func startReals(s *Script, p *Plan, program, dir string, seed uint64) (r *reals, err error) {
-	r = &reals{relays: map[[2]int]*rig.Relay{}, watch: newWatch(), stopped: map[int]bool{}}
+	r = &reals{relays: map[[2]int]*rig.Relay{}, watch: newWatch(), inForce: newInForce(), stopped: map[int]bool{}}
 	r.nodes, err = rig.NewNodes(rig.NodesOptions{Program: program, Dir: dir, Seed: seed, Hosts: s.Hosts, Flows: s.Flows, Seen: r.see})
 	if err != nil {
 		return nil, err
@@ -71,7 +72,9 @@
 // connect puts a relay between each two real nodes of different regions: what hollow nodes filter, it cuts.
 func (r *reals) connect(seed uint64) error {
 	for i, from := range r.of {
-		from.node.File.Via = map[string]string{}
+		if from.node.File.Via == nil {
+			from.node.File.Via = map[string]string{}
+		}
 		for k, to := range r.of {
 			if from.plan.Region == to.plan.Region {
 				continue
@@ -113,11 +116,7 @@
 }
 
 // cut cuts the relays from and to regions, or mends them all.
-func (r *reals) cut(regions []int) {
-	c := &cutNetwork{regions: map[int]bool{}}
-	for _, region := range regions {
-		c.regions[region] = true
-	}
+func (r *reals) cut(c *cutNetwork) {
 	for pair, relay := range r.relays {
 		cut := c.drops(r.of[pair[0]].plan.Region, r.of[pair[1]].plan.Region)
 		relay.Set(func(w *rig.Way) { w.Cut = cut })
@@ -220,6 +219,30 @@
 	return out
 }
 
+// configs asks the nodes that run for the configuration that they have in force, by their place.
+func (r *reals) configs(ctx context.Context) map[int]view.Config {
+	out := map[int]view.Config{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for i, one := range r.of {
+		if one.node.PID() == 0 || len(one.node.File.Control) == 0 {
+			continue
+		}
+		all.Go(func() {
+			c, err := one.node.Config(ctx)
+			if err != nil {
+				return
+			}
+			r.inForce.look(one.plan.Name, c)
+			mu.Lock()
+			defer mu.Unlock()
+			out[i] = c
+		})
+	}
+	all.Wait()
+	return out
+}
+
 // look has the watch see which members a node knows to be back.
 func (r *reals) look(v view.View) {
 	if !r.watch.looks() {
--- a/internal/scale/row.go
+++ b/internal/scale/row.go
@@ -17,6 +17,7 @@
 	Real    Kind = "real"    // a process of the built program, in the mean over those that ran through the phase
 	Hollow  Kind = "hollow"  // a hollow node, in the mean
 	Virtual Kind = "virtual" // a member on the virtual clock, in the mean
+	Server  Kind = "server"  // a control server, in the mean over those that ran through the phase
 	Fleet   Kind = "fleet"   // the whole fleet
 )
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -4,20 +4,26 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gorseledge/internal/configfeed"
+	"gorseledge/internal/emulator/members"
 )
 
 const (
-	introducePause = 5 * time.Millisecond // between two messages to one node
-	lookGap        = time.Second          // between two looks at what the nodes know
+	introducePause = 25 * time.Millisecond // between two messages to one node
+	introduceAgain = 5.0                   // seconds after which who does not know all is introduced again
+	lookGap        = time.Second           // between two looks at what the nodes know
 )
 
 // Options are how a script is played.
 type Options struct {
 	Program  string   // the built node
+	Control  string   // the built control server; needed where the script asks for some
 	Hollow   []string // command that runs ServeHollow on its standard input and output
 	Seed     uint64
 	Dir      string            // for the real nodes' directories
@@ -36,11 +42,13 @@
 const (
 	RuleMeet      = "all know all within the stated time after the start"
 	RuleAgree     = "all agree within the stated time after an event"
+	RuleRest      = "the fleet comes to rest within the stated time"
 	RuleTruth     = "hollow and real nodes agree in messages and bytes"
 	RuleVirtual   = "the virtual clock agrees with hollow and real nodes"
 	RuleCPU       = "a node's CPU is within its bound"
 	RuleMemory    = "a node's memory is within its bound"
 	RuleBandwidth = "a node's bytes are within their bound"
+	RuleForce     = "a change is in force at every reachable node within its bound"
 	RuleExit      = "no process ends by itself"
 )
 
@@ -58,6 +66,9 @@
 	Options
 	script   *Script
 	plan     *Plan
+	controls *controls          // nil where the script asks for none
+	version  configfeed.Version // that is in force
+	before   configfeed.Version // that was in force before the last change
 	reals    *reals
 	hollows  *hollows
 	running  running
@@ -78,7 +89,18 @@
 	}
 	defer p.close()
 	r := &run{Options: o, script: s, plan: p, began: time.Now(), result: &Result{Size: size, Real: s.Real, Events: len(s.Events)}}
-	if r.reals, err = startReals(s, p, o.Program, filepath.Join(o.Dir, fmt.Sprint(size)), o.Seed); err != nil {
+	dir := filepath.Join(o.Dir, fmt.Sprint(size))
+	if len(s.Control) > 0 {
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return nil, err
+		}
+		if r.controls, err = startControls(ctx, s, p, o.Control, dir, o.Seed); err != nil {
+			return nil, err
+		}
+		defer r.controls.close()
+		p.follow(r.controls)
+	}
+	if r.reals, err = startReals(s, p, o.Program, dir, o.Seed); err != nil {
 		return nil, err
 	}
 	defer r.reals.close()
@@ -115,7 +137,11 @@
 		return err
 	}
 	for i, a := range r.script.Events {
-		if err := r.event(ctx, i, a); err != nil {
+		bring := r.event
+		if a.Kind == Change {
+			bring = r.change
+		}
+		if err := bring(ctx, i, a); err != nil {
 			return err
 		}
 	}
@@ -129,11 +155,11 @@
 // start starts all nodes and waits until they know each other.
 func (r *run) start(ctx context.Context) error {
 	plans := r.plan.Nodes
-	members, err := r.reals.facts(ctx, plans)
+	real, err := r.reals.facts(ctx, plans)
 	if err != nil {
 		return err
 	}
-	r.build = members[0].Build
+	r.build = real[0].Build
 	before, err := r.sample(ctx)
 	if err != nil {
 		return err
@@ -147,12 +173,7 @@
 	if r.script.Virtual {
 		r.virtual = r.playVirtual(ctx)
 	}
-	if r.script.Introduce {
-		if err := r.introduce(ctx, plans, plans); err != nil {
-			return err
-		}
-	}
-	took, err := r.converge(ctx, r.script.Settle)
+	took, err := r.meet(ctx)
 	if err != nil {
 		return err
 	}
@@ -169,6 +190,26 @@
 	return nil
 }
 
+// meet waits until all know all. Where the run introduces them, it does so again while some do not: a message may have
+// been lost on a busy machine.
+func (r *run) meet(ctx context.Context) (took float64, err error) {
+	if !r.script.Introduce {
+		return r.converge(ctx, r.script.Settle)
+	}
+	for began := time.Now(); ; {
+		if err := r.introduce(ctx, r.plan.Nodes, r.plan.Nodes); err != nil {
+			return 0, err
+		}
+		took, err = r.converge(ctx, introduceAgain)
+		if err != nil || took >= 0 {
+			return took, err
+		}
+		if time.Since(began).Seconds() > r.script.Settle {
+			return -1, nil
+		}
+	}
+}
+
 // unmet says who does not know whom; a fleet that never knew itself cannot be measured.
 func (r *run) unmet(ctx context.Context) error {
 	wrong, first, err := r.check(ctx)
@@ -203,18 +244,21 @@
 	return nil
 }
 
-// restNews is how many members a node may still tell of, in the mean, in a fleet at rest.
-const restNews = 0.1
-
-// quiet waits until the nodes tell each other nothing new.
+// quiet waits until the nodes know the same and tell each other nothing new. On a machine that is too busy for the
+// nodes' time-outs that may never be: each late answer is a suspicion, of which all are told.
 func (r *run) quiet(ctx context.Context) error {
-	for began := time.Now(); time.Since(began).Seconds() < r.script.Quiet; {
-		k, err := r.hollows.report()
+	for began := time.Now(); r.script.AtRest; {
+		k, err := r.hollows.ask(request{Kind: requestReport, Digests: true})
 		if err != nil {
 			return err
 		}
-		if float64(k.news) < restNews*float64(k.nodes) {
-			break
+		if len(k.digests) <= 1 && float64(k.news) <= members.RestNews*float64(k.nodes) {
+			return nil
+		}
+		if waited := time.Since(began).Seconds(); waited > r.script.Quiet {
+			r.broken(RuleRest, "after %.0f s the nodes know %d different states, and tell of %.1f members each", waited, len(k.digests),
+				float64(k.news)/float64(k.nodes))
+			return nil
 		}
 		if err := sleep(ctx, lookGap.Seconds()); err != nil {
 			return err
@@ -347,7 +391,7 @@
 	for _, of := range []struct {
 		kind Kind
 		costs
-	}{{Hollow, hollow}, {Real, real}} {
+	}{{Hollow, hollow}, {Real, real}, {Server, serverCosts(before, after, hollow, real)}} {
 		if of.nodes == 0 {
 			continue
 		}
--- a/internal/scale/sample.go
+++ b/internal/scale/sample.go
@@ -17,6 +17,7 @@
 	hollowTraffic []view.Traffic
 	suspicions    int                // that hollow nodes had
 	real          map[int]realSample // by process
+	servers       map[int]usage      // control servers, by process
 }
 
 type hollowSample struct {
@@ -47,7 +48,17 @@
 		s.hollowTraffic = addTraffic(s.hollowTraffic, replies[i].Report.Traffic)
 	}
 	s.at, s.hollowSeconds = time.Now(), r.running.seconds(time.Now())
+	s.servers = map[int]usage{}
+	for _, pid := range r.controls.pids() {
+		if u, err := usageOf(pid); err == nil {
+			s.servers[pid] = u
+		}
+	}
+	configs := r.reals.configs(ctx)
 	for i, v := range r.reals.views(ctx) {
+		if c, known := configs[i]; known {
+			v.Traffic = addTraffic(v.Traffic, controlTraffic(&c))
+		}
 		pid := r.reals.of[i].node.PID()
 		if u, err := usageOf(pid); err == nil {
 			s.real[pid] = realSample{u, v.Traffic}
@@ -104,6 +115,16 @@
 	return sum
 }
 
+// members sums up the messages among members.
+func (c costs) members() (sum rate) {
+	for kind, x := range c.traffic {
+		if kind != controlKind {
+			sum = sum.plus(x)
+		}
+	}
+	return sum
+}
+
 // addRates adds what was counted between two samples, over a time, to rates.
 func addRates(to map[string]rate, before, after []view.Traffic, seconds float64) {
 	for _, t := range after {
@@ -158,3 +179,29 @@
 	}
 	return c
 }
+
+// serverCosts gives the cost of a control server between two samples, in the mean over those that ran through. Its bytes
+// are what followers count: those among servers are left out.
+func serverCosts(before, after sample, hollow, real costs) costs {
+	c := costs{traffic: map[string]rate{}}
+	for pid := range after.servers {
+		if _, ran := before.servers[pid]; ran {
+			c.nodes++
+		}
+	}
+	if c.nodes == 0 {
+		return c
+	}
+	for pid, now := range after.servers {
+		if was, ran := before.servers[pid]; ran {
+			c.cpu += (now.cpu - was.cpu) / after.at.Sub(before.at).Seconds() / float64(c.nodes)
+			c.memory += now.memory / float64(c.nodes)
+		}
+	}
+	for _, of := range []costs{hollow, real} {
+		t, nodes := of.traffic[controlKind], float64(of.nodes)/float64(c.nodes)
+		c.traffic[controlKind] = c.traffic[controlKind].plus(rate{t.receivedMessages * nodes, t.receivedBytes * nodes,
+			t.sentMessages * nodes, t.sentBytes * nodes})
+	}
+	return c
+}
--- a/internal/scale/script.go
+++ b/internal/scale/script.go
@@ -24,10 +24,14 @@
 	Period       float64  `toml:"period_s"`       // between two probes of a node
 	Introduce    bool     `toml:"introduce"`      // the run tells all nodes of one another at the start
 	Settle       float64  `toml:"settle_s"`       // after the start, until all know all
-	Quiet        float64  `toml:"quiet_s"`        // after that at the most, until nobody has anything new to tell
+	AtRest       bool     `toml:"at_rest"`        // the fleet comes to rest before the first measurement
+	Quiet        float64  `toml:"quiet_s"`        // for that at the most
 	Rest         float64  `toml:"rest_s"`         // of the measurement at rest
 	Pause        float64  `toml:"pause_s"`        // before each event
 	Agree        float64  `toml:"agree_s"`        // after an event's window, until all agree again
+	Control      []int    `toml:"control"`        // control servers of each region; none where it is missing
+	Force        float64  `toml:"in_force_s"`     // bound until a change is in force at the last reachable node
+	ChangeTime   float64  `toml:"change_s"`       // least time over which a change's costs are measured
 	Hosts        int      `toml:"hosts"`          // stand-ins behind the real nodes
 	Flows        float64  `toml:"flows_per_s"`    // new clients of all real nodes
 	Tolerance    float64  `toml:"tolerance"`      // hollow over real, messages and bytes at rest, may differ by that part
@@ -49,12 +53,14 @@
 	RestartSome ActionKind = "restart" // nodes leave and are started again
 	KillRack    ActionKind = "rack"    // a rack's nodes die
 	KillZone    ActionKind = "zone"    // a zone's nodes die
+	Change      ActionKind = "change"  // of the configuration, while something else goes on
 	CutRegion   ActionKind = "region"  // a region hears nobody else, and nobody else hears it
 )
 
 // Action is one event of a script. Nodes of every event are back and known before the next one begins.
 type Action struct {
 	Kind   ActionKind `toml:"kind"`
+	During During     `toml:"during"`   // change: what goes on meanwhile
 	Part   float64    `toml:"part"`     // restart: of all nodes; the others go by what fails
 	For    float64    `toml:"for_s"`    // until what failed comes back
 	Window float64    `toml:"window_s"` // after it is back, in which is measured how it becomes known
@@ -80,8 +86,8 @@
 
 // Read reads a script's text; path is for messages.
 func Read(path string, text []byte) (*Script, error) {
-	s := &Script{Real: 16, PerProcess: 100, ZonesOf: []int{3, 3, 2}, Rack: 20, Period: 1, Introduce: true, Settle: 120, Quiet: 120,
-		Rest: 30, Pause: 15, Agree: 60, Hosts: 4, Flows: 10, Tolerance: 0.1, CPU: 0.013, Memory: 64, Bandwidth: 15, TotalMemory: mostMemory,
+	s := &Script{Real: 16, PerProcess: 100, ZonesOf: []int{3, 3, 2}, Rack: 20, Period: 1, Introduce: true, Settle: 120, AtRest: true, Quiet: 120,
+		Rest: 30, Pause: 15, Agree: 60, Hosts: 4, Flows: 10, Tolerance: 0.1, Force: 6, ChangeTime: 5, CPU: 0.013, Memory: 64, Bandwidth: 15, TotalMemory: mostMemory,
 		TotalMinutes: mostMinutes}
 	if err := strict.Decode(path, text, s); err != nil {
 		return nil, err
@@ -109,7 +115,7 @@
 		{"real", float64(s.Real), 2, float64(min(slices.Min(s.Sizes)-1, 64))}, {"per_process", float64(s.PerProcess), 1, 500},
 		{"rack", float64(s.Rack), 1, mostNodesInRack}, {"period_s", s.Period, 0.05, 10}, {"settle_s", s.Settle, 1, 600},
 		{"quiet_s", s.Quiet, 0, 300}, {"rest_s", s.Rest, 1, 300}, {"pause_s", s.Pause, 0, 300}, {"agree_s", s.Agree, 1, 600}, {"hosts", float64(s.Hosts), 1, 50},
-		{"flows_per_s", s.Flows, 0, 500}, {"tolerance", s.Tolerance, 0.01, 1}, {"cpu_cores", s.CPU, 0, 8},
+		{"flows_per_s", s.Flows, 0, 500}, {"tolerance", s.Tolerance, 0.01, 1}, {"in_force_s", s.Force, 0.1, 600}, {"change_s", s.ChangeTime, 0, 600}, {"cpu_cores", s.CPU, 0, 8},
 		{"memory_mb", s.Memory, 1, mostMemory}, {"bandwidth_kB_s", s.Bandwidth, 0.01, 1e6},
 		{"total_memory_mb", s.TotalMemory, 100, mostMemory}, {"minutes", s.TotalMinutes, 0.1, mostMinutes}} {
 		if !(c.x >= c.least && c.x <= c.most) {
@@ -119,14 +125,22 @@
 	if n := s.Real + slices.Max(s.Sizes)/s.PerProcess + 2; n > mostProcesses {
 		return top("per_process"), fmt.Errorf("per_process: %d processes, and %d do", n, mostProcesses)
 	}
+	if n := sum(s.Control); len(s.Control) > 0 && (len(s.Control) != len(s.ZonesOf) || n%2 == 0 || n < 3 || n > 9) {
+		return top("control"), errors.New("control: for each region a number, together an odd one from 3 to 9")
+	}
 	for i, a := range s.Events {
 		at := func(key string) strict.Place { return strict.Place{Table: "event", Nth: i, Key: key} }
 		switch {
-		case !slices.Contains([]ActionKind{KillOne, RestartSome, KillRack, KillZone, CutRegion}, a.Kind):
+		case !slices.Contains([]ActionKind{KillOne, RestartSome, KillRack, KillZone, CutRegion, Change}, a.Kind):
 			return at("kind"), fmt.Errorf("kind: no event is called %q", a.Kind)
-		case (a.Kind == RestartSome) != (a.Part > 0) || !(a.Part >= 0 && a.Part <= 0.5):
+		case a.Kind == Change && len(s.Control) == 0:
+			return at("kind"), errors.New("kind: a change takes control servers")
+		case !slices.Contains([]During{DuringNothing, DuringRestart, DuringServerFault, DuringServerStart, DuringRegionCut}, a.During) ||
+			a.Kind != Change && a.During != DuringNothing:
+			return at("during"), fmt.Errorf("during: nothing is called %q", a.During)
+		case a.restarts() != (a.Part > 0) || !(a.Part >= 0 && a.Part <= 0.5):
 			return at("part"), fmt.Errorf("part: %g is no part of the nodes for it", a.Part)
-		case (a.Kind == RestartSome) != (a.For == 0) || !(a.For >= 0 && a.For <= 600):
+		case a.needsTime() != (a.For > 0) || !(a.For >= 0 && a.For <= 600):
 			return at("for_s"), fmt.Errorf("for_s: %g is no time for it", a.For)
 		case !(a.Window > 0 && a.Window <= 600):
 			return at("window_s"), fmt.Errorf("window_s: %g is not between 0 and 600", a.Window)
@@ -137,10 +151,20 @@
 	return strict.Place{}, nil
 }
 
+// restarts tells whether a part of the nodes is restarted.
+func (a Action) restarts() bool { return a.Kind == RestartSome || a.During == DuringRestart }
+
+// needsTime tells whether something fails for a stated time.
+func (a Action) needsTime() bool {
+	return a.During == DuringRegionCut || a.Kind != RestartSome && a.Kind != Change
+}
+
 // zones is the number of zones in all regions.
-func (s *Script) zones() (n int) {
-	for _, z := range s.ZonesOf {
-		n += z
+func (s *Script) zones() int { return sum(s.ZonesOf) }
+
+func sum(of []int) (n int) {
+	for _, x := range of {
+		n += x
 	}
 	return n
 }
--- a/internal/scale/script_test.go
+++ b/internal/scale/script_test.go
@@ -41,6 +41,10 @@
 		{"for_s = 5", "for_s = 0", "8", "for_s"},
 		{"part = 0.1", "part = 0.9", "13", "part"},
 		{"window_s = 5\n\n", "window_s = 0\n\n", "9", "window_s"},
+		{`kind = "kill"`, `kind = "change"`, "7", "control servers"},
+		{`kind = "kill"`, "kind = \"kill\"\nduring = \"restart\"", "8", "during"},
+		{"per_process = 10", "control = [2, 2, 2]", "4", "control"},
+		{"per_process = 10", "control = [3]", "4", "control"},
 	} {
 		text := strings.Replace(goodScript, c.from, c.to, 1)
 		_, err := Read("script", []byte(text))
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -18,7 +18,8 @@
 
 var fleetColumns = []column{{"gone: first, s", "gone_first", 1}, {"99th", "gone_99th", 1}, {"last", "gone_last", 1},
 	{"known by, %", "gone_known_by", 0.01}, {"back: first, s", "back_first", 1}, {"99th", "back_99th", 1}, {"last", "back_last", 1},
-	{"known by, %", "back_known_by", 0.01}, {"all agree, s", "all_agree", 1}}
+	{"known by, %", "back_known_by", 0.01}, {"all agree, s", "all_agree", 1},
+	{"in force: 50th, s", "in_force_50th", 1}, {"99th", "in_force_99th", 1}, {"last", "in_force_last", 1}, {"in force by, %", "in_force_by", 0.01}}
 
 // WriteTable writes what nodes cost in each phase, and when events were known.
 func WriteTable(w io.Writer, rows []Row) error {
