Scale run: provenance as other tables of figures give it; nothing unreachable

Cause: the tables under docs/capacity name command, revision, date, cores, machine and repeats, one a line. Change: gorselab scale does the same. Two functions that nothing called are gone.

--- a/cmd/gorselab/scale.go
+++ b/cmd/gorselab/scale.go
@@ -135,9 +135,12 @@
 	}
 	load, _ := os.ReadFile("/proc/loadavg")
 	return []string{
-		fmt.Sprintf("gorselab scale %s, seed %d, %d real nodes, period %g s, build %s", s.Name, f.seed, s.Real, s.Period, sockets.Version()),
-		fmt.Sprintf("ended %s; %s, %d cores; load at the end %s; beside it: %s", time.Now().UTC().Format(time.RFC3339),
-			runtime.Version(), runtime.NumCPU(), strings.TrimSpace(string(load)), beside),
+		fmt.Sprintf("command: gorselab scale %s --seed %d, with %d real nodes and a period of %g s", s.Name, f.seed, s.Real, s.Period),
+		"revision: " + sockets.Version(),
+		"date: " + time.Now().UTC().Format("2006-01-02 15:04 UTC"),
+		fmt.Sprintf("cores: %d", runtime.NumCPU()),
+		fmt.Sprintf("machine: %s; load at the end %s; beside it: %s", runtime.Version(), strings.TrimSpace(string(load)), beside),
+		"repeats: 1",
 	}
 }
 
--- a/internal/rig/nodes.go
+++ b/internal/rig/nodes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -135,5 +134,3 @@
 	err = n.node.rig.ask(ctx, n.node, "/-/config", &c)
 	return c, err
 }
-
-func (n *Node) String() string { return fmt.Sprint(n.node.name()) }
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 
 	"gorseledge/internal/fleet"
 )
@@ -136,12 +135,3 @@
 func (p *Plan) introduce(ctx context.Context, members []memberFacts, to []string) error {
 	return fleet.Introduce(ctx, fleet.Config{Fleet: p.ID, Key: p.Key, Address: p.own}, facts(members), to, introducePause)
 }
-
-// region gives the region of every node's address.
-func (p *Plan) regions() map[netip.AddrPort]int {
-	out := map[netip.AddrPort]int{}
-	for _, n := range p.Nodes {
-		out[netip.MustParseAddrPort(n.Address)] = n.Region
-	}
-	return out
-}
