--- a/internal/scale/hollow_test.go
+++ b/internal/scale/hollow_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.uber.org/goleak"
 
 	"gorseledge/internal/fleet"
@@ -230,6 +231,30 @@
 	}
 }
 
+// A node tells of a change under its own lock, and is asked under that lock what it knows: the watch holds none of its own
+// meanwhile, or the two wait for each other for good.
+func TestWatchHoldsNoLockWhileItAsks(t *testing.T) {
+	w := newWatch()
+	w.reset([]string{"a"})
+	w.expect(map[string]uint64{"a": 1})
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		w.look("n", func(name string) (membership.Member, bool) {
+			w.see("n", name, membership.Dead)
+			return membership.Member{Start: 1}, true
+		})
+	}()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatal("the watch and the node wait for each other")
+	}
+	if n := hdrhistogram.Import(w.seen().Back).TotalCount(); n != 1 {
+		t.Errorf("%d know", n)
+	}
+}
+
 // A hollow process ends with its context, although nobody asks it to.
 func TestHollowEndsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/scale/watch.go
+++ b/internal/scale/watch.go
@@ -74,23 +74,41 @@
 	w.goneAt.RecordValue(milliseconds(w.began))
 }
 
-// look asks what an observer knows of each member that it does not know to be back yet.
+// look asks what an observer knows of each member that it does not know to be back yet. No lock is held meanwhile, as the
+// observer may be telling of a change just then.
 func (w *watch) look(observer string, member func(name string) (membership.Member, bool)) {
+	for name, start := range w.missing(observer) {
+		if m, known := member(name); known && m.State <= membership.Suspect && m.Start >= start {
+			w.found(pair{observer, name})
+		}
+	}
+}
+
+// missing gives the members that an observer does not know to be back yet, with their starts.
+func (w *watch) missing(observer string) map[string]uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.members[observer] {
-		return
+		return nil
 	}
+	out := map[string]uint64{}
 	for name, start := range w.starts {
-		p := pair{observer, name}
-		if w.back[p] {
-			continue
-		}
-		if m, known := member(name); known && m.State <= membership.Suspect && m.Start >= start {
-			w.back[p] = true
-			w.backAt.RecordValue(milliseconds(w.returned))
+		if !w.back[pair{observer, name}] {
+			out[name] = start
 		}
 	}
+	return out
+}
+
+// found notes that an observer knows a member to be back.
+func (w *watch) found(p pair) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.starts[p.member] == 0 || w.back[p] { // another watch has begun meanwhile
+		return
+	}
+	w.back[p] = true
+	w.backAt.RecordValue(milliseconds(w.returned))
 }
 
 // looks tells whether members are expected back.
