Configuration distribution: a simulation that loops ends its test

Cause: a loop without progress on the virtual clock would only show as a test that never ends. Change: more than 200 steps a second and process end it.

--- a/internal/configfeed/sim_test.go
+++ b/internal/configfeed/sim_test.go
@@ -15,6 +15,7 @@
 	latency       = 0.01 // seconds one way within a region, and three times that between regions
 	headerBytes   = 300  // of an HTTP request or answer beside its body, as reckoned
 	inForceWithin = 6.0
+	stepsASecond  = 200 // of a process, at the most
 )
 
 // simulation is a set of servers and nodes on a virtual clock, with faults between them.
@@ -82,9 +83,13 @@
 	}
 }
 
-// runFor lets virtual time pass.
+// runFor lets virtual time pass. More steps than any course should take are a loop, and end the test.
 func (s *simulation) runFor(seconds float64) {
+	limit := s.clock.Steps + int((seconds+1)*stepsASecond)*len(s.processes())
 	for end := s.clock.Now + seconds; s.clock.Step(end); {
+		if s.clock.Steps > limit {
+			panic("more steps than any course should take")
+		}
 	}
 }
 
