--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -26,7 +26,6 @@
 	w        *World
 	chance   *rand.Rand
 	index    int
-	id       string
 	capacity float64
 	since    float64 // when it started; 0 for long ago
 	state    state
--- a/internal/emulator/station.go
+++ b/internal/emulator/station.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"math/rand/v2"
 
 	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/line"
@@ -19,7 +18,6 @@
 type station struct {
 	*machine
 	w       *World
-	chance  *rand.Rand
 	index   int
 	core    Core
 	running bool
