--- a/internal/rig/cost.go
+++ b/internal/rig/cost.go
@@ -14,26 +14,26 @@
 	"gorseledge/internal/rig/standin"
 )
 
-// Cost is the CPU time of a node's process, user and system, in microseconds.
+// Cost is the CPU time that a node's process uses, user and system, in microseconds.
 type Cost struct {
-	Start float64 // from its start to its end, with one flow
-	Flow  float64 // of a flow of no lines
-	Line  float64 // of a line to the host and back, alone on its way
+	Start float64 // of a process from its start to its end, with one flow
+	Flow  float64 // of a flow without lines
+	Line  float64 // of a line to the host and back, one at a time
 	Idle  float64 // of a second without clients
 }
 
-// Load is what a node is given to do to be measured.
+// Load is the work that a node does in a measurement.
 type Load struct {
 	Flows, Lines int
 	Idle         time.Duration
 }
 
-// Costs measures built nodes in turn, so many rounds, and gives the median of each.
+// Costs measures the programs in turn, as many times as rounds says, and returns the medians of each program.
 func Costs(ctx context.Context, programs []string, rounds int, load Load) ([]Cost, error) {
 	all := make([][]Cost, len(programs))
 	for range rounds {
 		for i, p := range programs {
-			c, err := cost(ctx, p, load)
+			c, err := measureOnce(ctx, p, load)
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", p, err)
 			}
@@ -60,26 +60,27 @@
 	return out, nil
 }
 
-func cost(ctx context.Context, program string, load Load) (c Cost, err error) {
+// measureOnce measures a program once.
+func measureOnce(ctx context.Context, program string, load Load) (c Cost, err error) {
 	if c.Start, err = spent(ctx, program, Load{}); err != nil {
 		return c, err
 	}
-	for _, m := range []struct {
-		to   *float64
-		load Load
-		per  float64
-	}{{&c.Flow, Load{Flows: load.Flows}, float64(load.Flows)}, {&c.Line, Load{Lines: load.Lines}, float64(load.Lines)},
-		{&c.Idle, Load{Idle: load.Idle}, load.Idle.Seconds()}} {
-		whole, err := spent(ctx, program, m.load)
-		if err != nil {
-			return c, err
-		}
-		*m.to = (whole - c.Start) / m.per
+	// perUnit is the cost of one unit of a load, without that of the start.
+	perUnit := func(load Load, units float64) (float64, error) {
+		whole, err := spent(ctx, program, load)
+		return (whole - c.Start) / units, err
+	}
+	if c.Flow, err = perUnit(Load{Flows: load.Flows}, float64(load.Flows)); err != nil {
+		return c, err
+	}
+	if c.Line, err = perUnit(Load{Lines: load.Lines}, float64(load.Lines)); err != nil {
+		return c, err
 	}
-	return c, nil
+	c.Idle, err = perUnit(Load{Idle: load.Idle}, load.Idle.Seconds())
+	return c, err
 }
 
-// spent starts a node alone, gives it a load after a first flow and tells what CPU time its process took.
+// spent runs a node without a fleet, puts a load on it after a first flow and returns the CPU time of its process.
 func spent(ctx context.Context, program string, load Load) (us float64, err error) {
 	dir, err := os.MkdirTemp("", "cost")
 	if err != nil {
@@ -99,7 +100,8 @@
 		return 0, err
 	}
 	c := config(n, roster.Address(), "", 1, 1)
-	c["known"] = hosts.List(1) // none of them is new
+	known := hosts.List(1)
+	c.Known = &known // no host is new to the node
 	text, err := json.Marshal(c)
 	if err != nil {
 		return 0, err
@@ -114,16 +116,16 @@
 		return 0, err
 	}
 	defer cmd.Process.Kill()
-	// flow plays one that is established; a node that has just begun takes few.
+	// flow runs one flow that is established. It retries, as a node that has just started accepts few flows.
 	id := 0
 	flow := func(lines int) (f standin.Flow, err error) {
 		for from := time.Now(); ; {
 			id++
-			f = standin.Play(ctx, n.client, fmt.Sprintf("%08x", id), 7, timeout, grace, lines, 0)
+			f = standin.Play(ctx, n.client, fmt.Sprintf("%08x", id), 7, flowTimeout, lateAnswerGrace, lines, 0)
 			if f.Answer == standin.Up {
 				return f, nil
 			}
-			if time.Since(from) > leaveWithin || ctx.Err() != nil {
+			if time.Since(from) > shutdownTimeout || ctx.Err() != nil {
 				return f, fmt.Errorf("it does not serve: %s", f.Answer)
 			}
 			time.Sleep(time.Millisecond)
--- a/internal/rig/death.go
+++ b/internal/rig/death.go
@@ -1,29 +1,29 @@
 package rig
 
-// Death is how a process's death came to be known. Times are seconds after it was killed.
+// Death says when the other nodes learned of the death of a process. Times are seconds after it was killed.
 type Death struct {
 	Node  int
-	First float64 // the first other that held it for dead
-	Last  float64 // the last
-	Known int     // others that did
+	First float64 // when the first other node held it for dead
+	Last  float64 // when the last one did
+	Known int     // number of other nodes that did
 }
 
-// Deaths gives those of processes that were killed and stayed down for a third of the run at least, whatever
-// else befell the fleet meanwhile.
+// Deaths returns the deaths of processes that were killed and stayed down for at least a third of the run, whatever
+// other faults there were meanwhile.
 func Deaths(s *Script, events []Event) (out []Death) {
 	for _, f := range episodes(events) {
-		if !kinds[f.Kind].stays || f.For > 0 && f.For < s.Lasts/3 {
+		if !faultKinds[f.Kind].staysDown || f.For > 0 && f.For < s.Lasts/3 {
 			continue
 		}
 		for _, node := range f.Nodes {
 			d := Death{Node: node}
-			told := map[int]bool{}
+			informed := map[int]bool{}
 			for _, e := range events {
-				if e.What != "member" || e.State != "dead" || number(e.Member) != node || e.At < f.from || e.At > f.to ||
-					told[e.Node] {
+				if e.What != eventMember || e.State != memberDead || nodeIndex(e.Member) != node || e.At < f.from || e.At > f.to ||
+					informed[e.Node] {
 					continue
 				}
-				if told[e.Node] = true; d.Known == 0 {
+				if informed[e.Node] = true; d.Known == 0 {
 					d.First = e.At - f.from
 				}
 				d.Last = e.At - f.from
--- /dev/null
+++ b/internal/rig/draw.go
@@ -0,0 +1,104 @@
+package rig
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	drawStream   = 0x7269670a // sets the faults' random stream apart from others of the same seed
+	drawAttempts = 50         // for each drawn fault, to find one that leaves enough nodes running
+)
+
+// Draw returns the script's faults and those that are drawn from the seed, in the order of their times. Drawn
+// process faults take down or stop at most a third of the nodes at once, and drawn cuts do not overlap, so that
+// the remaining nodes have a path to each other.
+func (s *Script) Draw(seed uint64) []Fault {
+	faults := slices.Clone(s.Faults)
+	random := rand.New(rand.NewPCG(seed, drawStream))
+	kinds := s.drawnKinds()
+	for try := 0; len(faults) < len(s.Faults)+s.Drawn && try < drawAttempts*s.Drawn; try++ {
+		fault := s.drawFault(random, kinds)
+		if s.canAdd(faults, fault) {
+			faults = append(faults, fault)
+		}
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
+
+// drawnKinds returns the kinds of faults to draw from, in a fixed order.
+func (s *Script) drawnKinds() []string {
+	if len(s.Kinds) > 0 {
+		return s.Kinds
+	}
+	var names []string
+	for name, kind := range faultKinds {
+		if !kind.streamsOnly { // members exchange datagrams only
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// drawFault draws one fault. Its times and its amount have two decimals.
+func (s *Script) drawFault(random *rand.Rand, kinds []string) Fault {
+	round := func(x float64) float64 { return math.Round(x*100) / 100 }
+	f := Fault{Kind: kinds[random.IntN(len(kinds))], Nodes: []int{random.IntN(s.Nodes)}}
+	f.For = round(min(s.Period*(1+20*random.Float64()*random.Float64()), s.Lasts/2))
+	if f.Kind == faultKill && random.IntN(3) == 0 {
+		f.For = round(s.Lasts / 2)
+	}
+	f.At = round(random.Float64() * (s.Lasts - f.For))
+	if faultKinds[f.Kind].onLink {
+		f.Both = random.IntN(2) == 0
+		if random.IntN(2) == 0 {
+			f.To = []int{(f.Nodes[0] + 1 + random.IntN(s.Nodes-1)) % s.Nodes}
+		}
+	}
+	f.By = round(s.drawAmount(random, f.Kind))
+	return f
+}
+
+// drawAmount draws a fault's amount, 0 for a kind that has none.
+func (s *Script) drawAmount(random *rand.Rand, kind string) float64 {
+	switch kind {
+	case faultLoss:
+		return 0.05 + 0.35*random.Float64()
+	case faultDelay:
+		return s.Period * random.Float64()
+	case faultRepeat:
+		return 0.1 + 0.4*random.Float64()
+	case faultReplay:
+		return 5 + 45*random.Float64()
+	case faultTear:
+		return 4000 * random.Float64() * random.Float64()
+	case faultSlow:
+		return 500 + 20000*random.Float64()
+	}
+	return 0
+}
+
+// canAdd reports whether a drawn fault can be added to the others: at most a third of the nodes are affected by
+// process faults at once, no node by two of them, and no two cuts overlap.
+func (s *Script) canAdd(faults []Fault, drawn Fault) bool {
+	down := 1
+	for _, other := range faults {
+		if drawn.At >= other.At+other.For+1 || other.At >= drawn.At+drawn.For+1 {
+			continue
+		}
+		if !faultKinds[other.Kind].onLink {
+			down++
+			if slices.Contains(other.Nodes, drawn.Nodes[0]) {
+				return false
+			}
+		}
+		if drawn.Kind == faultCut && other.Kind == faultCut { // two may leave no path
+			return false
+		}
+	}
+	return down <= s.Nodes/3
+}
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -9,100 +9,62 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// befall brings the faults about, in their order, and waits until the last is over.
-func (r *Rig) befall(ctx context.Context, faults []Fault) error {
+// garbageDatagrams and garbageBytes are the number of datagrams of one garbage fault and the bound of their size.
+const (
+	garbageDatagrams = 200
+	garbageBytes     = 400
+)
+
+// applyFaults applies the faults at their times, ends each after its duration and returns when the script is over.
+func (r *Rig) applyFaults(ctx context.Context, faults []Fault) error {
 	outer := ctx
 	group, ctx := errgroup.WithContext(outer)
-	from := time.Now()
-	wait := func(seconds float64) bool {
+	started := time.Now()
+	waitUntil := func(seconds float64) bool {
 		select {
-		case <-time.After(time.Until(from.Add(time.Duration(seconds * 1e9)))):
+		case <-time.After(time.Until(started.Add(time.Duration(seconds * 1e9)))):
 			return true
 		case <-ctx.Done():
 			return false
 		}
 	}
 	for _, f := range faults {
-		if !wait(f.At) {
+		if !waitUntil(f.At) {
 			break
 		}
-		r.history.add(Event{What: "fault", Fault: &f})
-		r.say("%5.1f s  %s", f.At, f)
+		r.history.add(Event{What: eventFault, Fault: &f})
+		r.progressf("%5.1f s  %s", f.At, f)
 		group.Go(func() error {
-			if err := r.bring(f, false); err != nil {
+			if err := r.changeFault(f, false); err != nil {
 				return err
 			}
-			if !wait(f.At + f.For) {
+			if !waitUntil(f.At + f.For) {
 				return nil
 			}
-			err := r.bring(f, true)
-			r.history.add(Event{What: "over", Fault: &f})
+			err := r.changeFault(f, true)
+			r.history.add(Event{What: eventOver, Fault: &f})
 			return err
 		})
 	}
-	wait(r.script.Lasts)
+	waitUntil(r.script.Lasts)
 	if err := group.Wait(); err != nil {
 		return err
 	}
 	return outer.Err()
 }
 
-// bring begins a fault, or ends it.
-func (r *Rig) bring(f Fault, over bool) error {
-	if kinds[f.Kind].way {
-		r.ways(f, func(w *Way) {
-			by := f.By
-			if over {
-				by = 0
-			}
-			switch f.Kind {
-			case "cut":
-				w.Cut = !over
-			case "loss":
-				w.Loss = by
-			case "delay":
-				w.Delay, w.Jitter = by, by
-			case "repeat":
-				w.Repeat = by
-			case "replay":
-				w.Replay = by
-			case "tear":
-				w.CutAt = int64(by)
-			case "slow":
-				w.PerByte = 0
-				if by > 0 {
-					w.PerByte = 1 / by
-				}
-			}
-		})
+// changeFault begins a fault, or ends it where over is true.
+func (r *Rig) changeFault(f Fault, over bool) error {
+	if faultKinds[f.Kind].onLink {
+		r.changeLinks(f, func(w *Way) { setLinkFault(w, f, over) })
 		return nil
 	}
 	for _, i := range f.Nodes {
-		n := r.nodes[i]
 		var err error
-		switch {
-		case f.Kind == "stop":
-			n.stop(!over)
-		case f.Kind == "upgrade" && !over:
-			err = n.upgrade()
-		case f.Kind == "garbage" && !over:
-			err = r.garbage(n)
-		case over && kinds[f.Kind].ends && f.Kind != "upgrade":
-			if f.For > 0 || !kinds[f.Kind].stays {
-				err = n.start()
-			}
-		case f.Kind == "kill":
-			n.kill()
-		case f.Kind == "wipe":
-			n.kill()
-			if err = os.RemoveAll(n.dir); err == nil {
-				err = r.prepare(n)
-			}
-		case f.Kind == "rollback":
-			n.kill()
-			err = n.putBack()
-		case f.Kind == "restart":
-			n.leave()
+		if over {
+			err = r.endNodeFault(r.nodes[i], f)
+		} else {
+			err = r.beginNodeFault(r.nodes[i], f)
 		}
 		if err != nil {
 			return err
@@ -111,8 +73,77 @@
 	return nil
 }
 
-// ways changes the ways of a fault.
-func (r *Rig) ways(f Fault, change func(*Way)) {
+// setLinkFault sets what a fault changes of a link, or sets it back where the fault is over.
+func setLinkFault(w *Way, f Fault, over bool) {
+	amount := f.By
+	if over {
+		amount = 0
+	}
+	switch f.Kind {
+	case faultCut:
+		w.Cut = !over
+	case faultLoss:
+		w.Loss = amount
+	case faultDelay:
+		w.Delay, w.Jitter = amount, amount
+	case faultRepeat:
+		w.Repeat = amount
+	case faultReplay:
+		w.Replay = amount
+	case faultTear:
+		w.CutAt = int64(amount)
+	case faultSlow:
+		w.PerByte = 0
+		if amount > 0 {
+			w.PerByte = 1 / amount
+		}
+	}
+}
+
+// beginNodeFault begins a fault of a node's process.
+func (r *Rig) beginNodeFault(n *node, f Fault) error {
+	switch f.Kind {
+	case faultStop:
+		n.stop(true)
+	case faultKill:
+		n.kill()
+	case faultWipe:
+		n.kill()
+		if err := os.RemoveAll(n.dir); err != nil {
+			return err
+		}
+		return r.writeNodeFiles(n)
+	case faultRollback:
+		n.kill()
+		return n.restoreDir()
+	case faultRestart:
+		n.leave()
+	case faultUpgrade:
+		return n.upgrade()
+	case faultGarbage:
+		return r.sendGarbage(n)
+	}
+	return nil
+}
+
+// endNodeFault ends a fault of a node's process: the process continues, or is started again unless it stays down for
+// the whole run.
+func (r *Rig) endNodeFault(n *node, f Fault) error {
+	switch f.Kind {
+	case faultStop:
+		n.stop(false)
+	case faultKill, faultWipe, faultRollback:
+		if f.For > 0 {
+			return n.start()
+		}
+	case faultRestart:
+		return n.start()
+	}
+	return nil
+}
+
+// changeLinks changes the relays of a fault's links.
+func (r *Rig) changeLinks(f Fault, change func(*Way)) {
 	for _, from := range f.Nodes {
 		to := f.To
 		if len(to) == 0 {
@@ -132,8 +163,8 @@
 	}
 }
 
-// garbage sends a node what means nothing.
-func (r *Rig) garbage(n *node) error {
+// sendGarbage sends random datagrams to a node; half of them begin with the right version.
+func (r *Rig) sendGarbage(n *node) error {
 	c, err := net.Dial("udp", n.fleet)
 	if err != nil {
 		return err
@@ -141,15 +172,15 @@
 	defer c.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for range 200 {
-		text := make([]byte, r.rand.IntN(400))
+	for range garbageDatagrams {
+		text := make([]byte, r.rand.IntN(garbageBytes))
 		for i := range text {
 			text[i] = byte(r.rand.Uint32())
 		}
 		if len(text) > 0 && r.rand.IntN(2) == 0 {
-			text[0] = 1 // of the right version
+			text[0] = 1 // the version of members' messages
 		}
-		c.Write(text) // it may have been killed: then nobody hears
+		c.Write(text) // an error is no fault of the run: the node may be down
 	}
 	return nil
 }
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -8,23 +8,43 @@
 	"time"
 )
 
-// Event is one thing that the rig did or saw. At counts in seconds from the rig's start.
+// The values of Event.What.
+const (
+	eventStart  = "start"  // a process was started
+	eventExit   = "exit"   // a process ended
+	eventFault  = "fault"  // a fault began
+	eventOver   = "over"   // a fault ended
+	eventMember = "member" // a node saw a member change its state
+	eventFlow   = "flow"   // a client's flow ended
+	eventAgree  = "agree"  // all running nodes agree after the last fault
+	eventBudget = "budget" // the part of a cold host's budget that all nodes give out
+)
+
+// The states of a member in events and views.
+const (
+	memberAlive   = "alive"
+	memberSuspect = "suspect"
+	memberDead    = "dead"
+	memberLeft    = "left"
+)
+
+// Event is something that the rig did or observed. At and Began are seconds from the start of the rig.
 type Event struct {
 	At     float64 `json:"at"`
-	What   string  `json:"what"` // start, exit, fault, over, member, flow, agree, budget
+	What   string  `json:"what"` // one of the constants above
 	Node   int     `json:"node"`
 	Fault  *Fault  `json:"fault,omitempty"`
-	Member string  `json:"member,omitempty"` // of a change that the node saw
+	Member string  `json:"member,omitempty"` // the member whose state changed
 	State  string  `json:"state,omitempty"`
-	Answer string  `json:"answer,omitempty"` // of a flow
-	Count  int     `json:"count,omitempty"`  // of a flow's answers
-	Ended  string  `json:"ended,omitempty"`  // of a flow that was established
-	Began  float64 `json:"began,omitempty"`  // of a flow
-	Part   float64 `json:"part,omitempty"`   // of a cold host's budget, that all who run take together
+	Answer string  `json:"answer,omitempty"` // of a flow: a standin.Answer
+	Count  int     `json:"count,omitempty"`  // final answers of a flow
+	Ended  string  `json:"ended,omitempty"`  // how an established flow ended
+	Began  float64 `json:"began,omitempty"`  // when a flow began
+	Part   float64 `json:"part,omitempty"`   // of a cold host's budget, that all running nodes give out
 	Note   string  `json:"note,omitempty"`
 }
 
-// history keeps what was seen, in order, and writes it as JSON Lines.
+// history keeps the events of a run in order and writes them as JSON Lines. It is safe for concurrent use.
 type history struct {
 	mu     sync.Mutex
 	began  time.Time
@@ -34,7 +54,8 @@
 	path   string
 }
 
-// newHistory writes to a file that has its name once it is whole; an empty path keeps nothing on disk.
+// newHistory returns a history that writes to a file, which gets its name when the history is closed as complete. With an
+// empty path it writes no file.
 func newHistory(path string) (*history, error) {
 	h := &history{began: time.Now(), path: path}
 	if path == "" {
@@ -48,8 +69,10 @@
 	return h, nil
 }
 
+// now returns the seconds since the start of the rig.
 func (h *history) now() float64 { return time.Since(h.began).Seconds() }
 
+// add records an event, at the present time where it has none.
 func (h *history) add(e Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -62,25 +85,26 @@
 	}
 }
 
+// all returns a copy of the events.
 func (h *history) all() []Event {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return append([]Event(nil), h.events...)
 }
 
-// flows is how many flows have ended.
+// flows returns the number of flows that have ended.
 func (h *history) flows() (n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, e := range h.events {
-		if e.What == "flow" {
+		if e.What == eventFlow {
 			n++
 		}
 	}
 	return n
 }
 
-// close gives the file its name, or takes it away where the run was broken off.
+// close gives the file its name where the run is complete, and removes it otherwise.
 func (h *history) close(whole bool) error {
 	if h.file == nil {
 		return nil
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -9,7 +9,7 @@
 	"strings"
 )
 
-// Break is something that must not be.
+// Break is a violation of one of the rules of a run. At is in seconds from the start of the rig.
 type Break struct {
 	Rule string  `json:"rule"`
 	At   float64 `json:"at"`
@@ -18,7 +18,7 @@
 
 func (b Break) String() string { return fmt.Sprintf("%.2f s: %s: %s", b.At, b.Rule, b.Text) }
 
-// The rules of a run.
+// The rules of a run, as they stand in reports.
 const (
 	RuleDeath  = "no blameless member is held for dead"
 	RuleAnswer = "each flow gets one final answer"
@@ -28,43 +28,48 @@
 	RuleBudget = "all nodes together stay within a cold host's budget"
 )
 
-// memory is for how many periods a fault may still be what others judge a member by: the longest suspicion
-// and what a node's doubt of itself adds.
-const memory = 120.0
+// excusePeriods is the number of periods after a fault in which others may still declare the affected member dead
+// because of it: the longest suspicion time, lengthened by a node's local health score.
+const excusePeriods = 120.0
 
-// longestStop is how many periods a process may be stopped, or cut off from all, without being held for dead:
-// the shortest suspicion.
-const longestStop = 4.0
+// tolerablePeriods is the number of periods for which a process may be stopped, or cut off from all, without being
+// declared dead: the shortest suspicion time.
+const tolerablePeriods = 4.0
 
-// span is a time in which something befell a node.
-type span struct{ from, to float64 }
+// tolerableLoss is the share of lost datagrams up to which a member must not be declared dead.
+const tolerableLoss = 0.2
 
-// Judge gives what was broken in a run. Only the order of what was seen and the stated times count.
+// interval is the time from the begin to the end of something, in seconds from the start of the rig.
+type interval struct{ from, to float64 }
+
+// Judge returns the violations in a run, by their times. It reads the events of the result and the times that the script
+// states; disagreement is what Play found when it waited for agreement, empty where all nodes agreed.
 func Judge(s *Script, r *Result, disagreement string) (out []Break) {
-	out = append(out, deaths(s, r.Events)...)
-	out = append(out, answers(r.Events)...)
-	out = append(out, exits(r.Events)...)
-	out = append(out, known(s, r.Events)...)
-	out = append(out, budgets(r.Events)...)
+	out = append(out, checkDeaths(s, r.Events)...)
+	out = append(out, checkAnswers(r.Events)...)
+	out = append(out, checkExits(r.Events)...)
+	out = append(out, checkKnownDeaths(s, r.Events)...)
+	out = append(out, checkBudgets(r.Events)...)
 	if disagreement != "" {
-		out = append(out, Break{RuleAgree, last(r.Events), disagreement})
+		out = append(out, Break{RuleAgree, endOf(r.Events), disagreement})
 	}
 	slices.SortStableFunc(out, func(a, b Break) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
 
-func last(events []Event) float64 {
+// endOf returns the time of the last event.
+func endOf(events []Event) float64 {
 	if len(events) == 0 {
 		return 0
 	}
 	return events[len(events)-1].At
 }
 
-// episode is a fault and the time that it lasted; one that was not over when the run ended, or that a
-// process is not started again after, lasts for ever.
+// episode is a fault with the time for which it lasted. One that was not over when the run ended, or that leaves its
+// process down, lasts for ever.
 type episode struct {
 	Fault
-	span
+	interval
 }
 
 var forever = math.Inf(1)
@@ -77,10 +82,10 @@
 			continue
 		}
 		key := fmt.Sprintf("%v", *e.Fault)
-		if e.What == "fault" {
+		if e.What == eventFault {
 			open[key] = len(out)
-			out = append(out, episode{*e.Fault, span{e.At, forever}})
-		} else if i, begun := open[key]; begun && !(e.Fault.For == 0 && kinds[e.Fault.Kind].stays) {
+			out = append(out, episode{*e.Fault, interval{e.At, forever}})
+		} else if i, begun := open[key]; begun && !(e.Fault.For == 0 && faultKinds[e.Fault.Kind].staysDown) {
 			out[i].to = e.At
 			delete(open, key)
 		}
@@ -88,63 +93,64 @@
 	return out
 }
 
-// excuses gives, by node, the times in which others may hold it for dead: it was down, stopped for long, cut
-// off from or by everybody, behind a way that loses more than is stated, or in a cut that leaves no path by
-// one other.
-func excuses(s *Script, events []Event) map[int][]span {
-	out := map[int][]span{}
+// excusedIntervals returns, by node, the times in which others may declare it dead: it was down, stopped for long, cut
+// off from or by all others, behind links with more loss or delay than the rules cover, or in a cut that leaves no path
+// through another node.
+func excusedIntervals(s *Script, events []Event) map[int][]interval {
+	out := map[int][]interval{}
 	for _, e := range episodes(events) {
-		excuse(s, out, e.Fault, e.span)
+		addExcuses(s, out, e.Fault, e.interval)
 	}
 	return out
 }
 
-func excuse(s *Script, out map[int][]span, f Fault, w span) {
-	long := w.to-w.from >= longestStop*s.Period
+// addExcuses adds to out the interval w for each node that the fault excuses.
+func addExcuses(s *Script, out map[int][]interval, f Fault, w interval) {
+	long := w.to-w.from >= tolerablePeriods*s.Period
 	add := func(nodes []int) {
 		for _, n := range nodes {
 			out[n] = append(out[n], w)
 		}
 	}
-	if kinds[f.Kind].ends {
+	if faultKinds[f.Kind].endsProcess {
 		add(f.Nodes)
 	}
 	switch f.Kind {
-	case "stop":
+	case faultStop:
 		if long || len(f.Nodes) > 1 {
 			add(f.Nodes)
 		}
-	case "cut":
+	case faultCut:
 		if !long {
 			return
 		}
-		if len(f.To) == 0 { // nobody hears it
+		if len(f.To) == 0 { // no other node receives anything from it
 			add(f.Nodes)
-			if len(f.Nodes) > 1 { // and those who are left may be too few for a path
+			if len(f.Nodes) > 1 { // the remaining nodes may be too few for a path
 				for n := range s.Nodes {
 					add([]int{n})
 				}
 			}
 			return
 		}
-		if path(s, f) {
+		if leavesPath(s, f) {
 			return
 		}
 		add(f.Nodes)
 		add(f.To)
-	case "loss":
-		if f.By > 0.2 && len(f.To) == 0 {
+	case faultLoss:
+		if f.By > tolerableLoss && len(f.To) == 0 {
 			add(f.Nodes)
 		}
-	case "delay": // beyond the time-out of a probe, whose answer comes too late
+	case faultDelay: // longer than the timeout of a probe
 		if f.By > s.Period/10 && len(f.To) == 0 {
 			add(f.Nodes)
 		}
 	}
 }
 
-// path tells whether somebody is left whom a cut does not touch, so that all are reached by way of one other.
-func path(s *Script, f Fault) bool {
+// leavesPath reports whether a cut leaves a node untouched, so that all others can be reached through it.
+func leavesPath(s *Script, f Fault) bool {
 	for n := range s.Nodes {
 		if !slices.Contains(f.Nodes, n) && !slices.Contains(f.To, n) {
 			return true
@@ -153,8 +159,8 @@
 	return false
 }
 
-// number gives a node's number by its name, -1 for none.
-func number(name string) int {
+// nodeIndex returns the index of a node by its name, -1 where the name is not one of the rig's.
+func nodeIndex(name string) int {
 	n, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
 	if err != nil {
 		return -1
@@ -162,17 +168,17 @@
 	return n
 }
 
-// deaths checks that nobody is held for dead who had no fault of its own. Who judges may have had one: a node
-// that was stopped or cut off accuses nobody on waking.
-func deaths(s *Script, events []Event) (out []Break) {
-	spans := excuses(s, events)
+// checkDeaths checks that no node without a fault of its own is declared dead. The fault of the node that declares it
+// does not count: one that was stopped or cut off must not accuse others when it is back.
+func checkDeaths(s *Script, events []Event) (out []Break) {
+	intervals := excusedIntervals(s, events)
 	for _, e := range events {
-		if e.What != "member" || e.State != "dead" {
+		if e.What != eventMember || e.State != memberDead {
 			continue
 		}
 		excused := false
-		for _, w := range spans[number(e.Member)] {
-			excused = excused || e.At >= w.from && e.At <= w.to+memory*s.Period
+		for _, w := range intervals[nodeIndex(e.Member)] {
+			excused = excused || e.At >= w.from && e.At <= w.to+excusePeriods*s.Period
 		}
 		if !excused {
 			out = append(out, Break{RuleDeath, e.At, fmt.Sprintf("n%d holds %s for dead", e.Node, e.Member)})
@@ -181,30 +187,30 @@
 	return out
 }
 
-// answers checks that each flow got one final answer, unless its node was killed, stopped or asked to leave
-// under it.
-func answers(events []Event) (out []Break) {
-	ends := map[int][]span{}
+// checkAnswers checks that each flow got exactly one final answer and was not cut off, unless its node was killed, stopped
+// or asked to leave during it. More than one answer is never excused.
+func checkAnswers(events []Event) (out []Break) {
+	disturbed := map[int][]interval{}
 	for _, e := range episodes(events) {
-		if kinds[e.Kind].way {
+		if faultKinds[e.Kind].onLink {
 			continue
 		}
 		for _, n := range e.Nodes {
-			ends[n] = append(ends[n], span{e.from, e.to + 1}) // until it is known to be back
+			disturbed[n] = append(disturbed[n], interval{e.from, e.to + 1}) // until the front sees that it is back
 		}
 	}
 	for _, e := range events {
-		if e.What != "flow" {
+		if e.What != eventFlow {
 			continue
 		}
-		struck := false
-		for _, w := range ends[e.Node] {
-			struck = struck || w.from <= e.At && w.to >= e.Began
+		excused := false
+		for _, w := range disturbed[e.Node] {
+			excused = excused || w.from <= e.At && w.to >= e.Began
 		}
 		switch {
 		case e.Count > 1:
 			out = append(out, Break{RuleAnswer, e.At, fmt.Sprintf("a flow through n%d got %d answers", e.Node, e.Count)})
-		case struck:
+		case excused:
 		case e.Count == 0 || e.Answer == "failed" || e.Answer == "up" && e.Ended == "cut":
 			out = append(out, Break{RuleAnswer, e.At, fmt.Sprintf("a flow through n%d: %s %s", e.Node, e.Answer, e.Ended)})
 		}
@@ -212,15 +218,15 @@
 	return out
 }
 
-// exits checks that a process ends only by a fault that ends it.
-func exits(events []Event) (out []Break) {
+// checkExits checks that a process ends only because of a fault that ends it.
+func checkExits(events []Event) (out []Break) {
 	for i, e := range events {
-		if e.What != "exit" {
+		if e.What != eventExit {
 			continue
 		}
 		asked := false
 		for _, f := range events[:i] {
-			asked = asked || f.What == "fault" && f.Fault != nil && kinds[f.Fault.Kind].ends &&
+			asked = asked || f.What == eventFault && f.Fault != nil && faultKinds[f.Fault.Kind].endsProcess &&
 				slices.Contains(f.Fault.Nodes, e.Node)
 		}
 		if !asked {
@@ -230,25 +236,25 @@
 	return out
 }
 
-// known checks that the death of a process that stays down is held for one by all others within the stated
-// time.
-func known(s *Script, events []Event) (out []Break) {
+// checkKnownDeaths checks that all nodes without a fault of their own declare a process that stays down dead within the
+// script's liveness time.
+func checkKnownDeaths(s *Script, events []Event) (out []Break) {
 	for _, f := range events {
-		if f.What != "fault" || !kinds[f.Fault.Kind].stays ||
-			f.Fault.For < s.Liveness+memory*s.Period && f.Fault.For > 0 {
+		if f.What != eventFault || !faultKinds[f.Fault.Kind].staysDown ||
+			f.Fault.For < s.Liveness+excusePeriods*s.Period && f.Fault.For > 0 {
 			continue
 		}
 		for _, dead := range f.Fault.Nodes {
 			for n := range s.Nodes {
-				if n == dead || touched(events, n, f.At) || touched(events, dead, f.At+0.01) {
+				if n == dead || affectedAfter(events, n, f.At) || affectedAfter(events, dead, f.At+0.01) {
 					continue
 				}
 				heard := false
 				for _, e := range events {
-					heard = heard || e.What == "member" && e.Node == n && number(e.Member) == dead && e.State == "dead" &&
+					heard = heard || e.What == eventMember && e.Node == n && nodeIndex(e.Member) == dead && e.State == memberDead &&
 						e.At >= f.At && e.At <= f.At+s.Liveness
 				}
-				if end := last(events); !heard && end >= f.At+s.Liveness {
+				if end := endOf(events); !heard && end >= f.At+s.Liveness {
 					out = append(out, Break{RuleKnown, f.At + s.Liveness, fmt.Sprintf("n%d does not know that n%d is dead", n, dead)})
 				}
 			}
@@ -257,21 +263,20 @@
 	return out
 }
 
-// budgets checks what all nodes together took for their part of a cold host's budget, each by the number of
-// nodes that it reckons with.
-func budgets(events []Event) (out []Break) {
+// checkBudgets checks that all nodes together never gave out more than a cold host's budget.
+func checkBudgets(events []Event) (out []Break) {
 	for _, e := range events {
-		if e.What == "budget" && e.Part > 1 {
+		if e.What == eventBudget && e.Part > 1 {
 			out = append(out, Break{RuleBudget, e.At, fmt.Sprintf("%.2f of it", e.Part)})
 		}
 	}
 	return out
 }
 
-// touched tells whether something befell a node after a time.
-func touched(events []Event, n int, after float64) bool {
+// affectedAfter reports whether a fault affected a node at or after a time.
+func affectedAfter(events []Event, n int, after float64) bool {
 	for _, e := range events {
-		if e.Fault != nil && e.At >= after && (slices.Contains(e.Fault.Nodes, n) || len(e.Fault.To) == 0 && kinds[e.Fault.Kind].way ||
+		if e.Fault != nil && e.At >= after && (slices.Contains(e.Fault.Nodes, n) || len(e.Fault.To) == 0 && faultKinds[e.Fault.Kind].onLink ||
 			slices.Contains(e.Fault.To, n)) {
 			return true
 		}
--- a/internal/rig/judge_test.go
+++ b/internal/rig/judge_test.go
@@ -181,7 +181,7 @@
 		for at := 0.0; at < 60; at += 0.1 {
 			away := 0
 			for _, f := range faults {
-				if !kinds[f.Kind].way && at >= f.At && at < f.At+f.For {
+				if !faultKinds[f.Kind].onLink && at >= f.At && at < f.At+f.For {
 					away++
 				}
 			}
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -8,28 +8,29 @@
 	"time"
 )
 
-const meetWithin = 60.0 // seconds, for all to find each other at the start
+const joinTimeout = 60.0 // seconds until all nodes have to have found each other
 
-// Result is what came of a run.
+// Result is the outcome of a run. Times are seconds.
 type Result struct {
 	Seed    uint64
 	Faults  []Fault
 	Events  []Event
 	Breaks  []Break
-	Calls   int // flows
-	Answers map[string]int
-	Met     float64 // seconds until all had found each other
-	Agreed  float64 // seconds after the last fault until all agreed
-	Deaths  []Death // of processes that were killed for long enough that all had time to know
+	Calls   int            // flows
+	Answers map[string]int // flows by their answer
+	Met     float64        // until all nodes had found each other
+	Agreed  float64        // from the end of the last fault until all agreed, -1 where they did not
+	Deaths  []Death        // of processes that were down for long enough that all had time to know
 	Nodes   int
 }
 
-// Summary is the last line of a run.
+// Summary returns the last line of the report of a run.
 func (r *Result) Summary() string {
 	return fmt.Sprintf("SEED %d: %d calls, %d faults, broken %d", r.Seed, r.Calls, len(r.Faults), len(r.Breaks))
 }
 
-// Play plays a script once. Whatever happens, nothing that it started is left when it returns.
+// Play runs a script once and judges it. An error means that the run itself failed, not that a rule was broken. When
+// Play returns, nothing that it started is running, whatever happened.
 func Play(ctx context.Context, s *Script, o Options) (res *Result, err error) {
 	h, err := newHistory(o.History)
 	if err != nil {
@@ -45,46 +46,69 @@
 			err = cerr
 		}
 	}()
-	if err := r.raise(); err != nil {
+	if err := r.start(); err != nil {
 		return nil, err
 	}
 	res = &Result{Seed: o.Seed, Faults: s.Draw(o.Seed), Nodes: s.Nodes, Answers: map[string]int{}}
-	flowing, stopFlows := context.WithCancel(ctx)
-	defer stopFlows()
-	defer r.tell(flowing)()
-	var against string
-	if res.Met, against, err = r.agree(ctx, meetWithin); err != nil {
+	disagreement, err := r.run(ctx, res)
+	if err != nil {
 		return nil, err
 	}
-	if against != "" {
-		return nil, fmt.Errorf("the nodes have not found each other within %g s: %s", meetWithin, against)
+	res.Events = h.all()
+	res.countFlows()
+	res.Breaks, res.Deaths = Judge(s, res, disagreement), Deaths(s, res.Events)
+	return res, nil
+}
+
+// run waits until the nodes have found each other, applies the faults with clients coming and waits until the nodes
+// agree. It returns the disagreement that is left, empty where there is none.
+func (r *Rig) run(ctx context.Context, res *Result) (disagreement string, err error) {
+	flowing, stopFlows := context.WithCancel(ctx)
+	defer stopFlows()
+	defer r.reportProgress(flowing)()
+	if err := r.awaitJoin(ctx, res); err != nil {
+		return "", err
 	}
-	r.say("all %d have found each other after %.1f s", s.Nodes, res.Met)
 	for _, n := range r.nodes {
 		if err := n.copyDir(); err != nil {
-			return nil, err
+			return "", err
 		}
 	}
 	r.flows.Go(func() { r.traffic(flowing, ctx) })
-	r.flows.Go(func() { r.budget(flowing) })
-	if err := r.befall(ctx, res.Faults); err != nil {
-		return nil, err
+	r.flows.Go(func() { r.recordBudget(flowing) })
+	if err := r.applyFaults(ctx, res.Faults); err != nil {
+		return "", err
 	}
-	if res.Agreed, against, err = r.agree(ctx, s.Settle); err != nil {
-		return nil, err
+	if res.Agreed, disagreement, err = r.awaitAgreement(ctx, r.script.Settle); err != nil {
+		return "", err
 	}
-	if against == "" {
-		r.history.add(Event{What: "agree", Note: fmt.Sprintf("%.2f s after the last fault", res.Agreed)})
+	if disagreement == "" {
+		r.history.add(Event{What: eventAgree, Note: fmt.Sprintf("%.2f s after the last fault", res.Agreed)})
 	}
 	stopFlows()
 	r.flows.Wait()
-	res.Events = h.all()
-	for _, e := range res.Events {
-		if e.What == "flow" {
-			res.Calls++
-			res.Answers[e.Answer]++
+	return disagreement, nil
+}
+
+// awaitJoin waits until all nodes have found each other, which is an error where it takes too long.
+func (r *Rig) awaitJoin(ctx context.Context, res *Result) (err error) {
+	var disagreement string
+	if res.Met, disagreement, err = r.awaitAgreement(ctx, joinTimeout); err != nil {
+		return err
+	}
+	if disagreement != "" {
+		return fmt.Errorf("the nodes have not found each other within %g s: %s", joinTimeout, disagreement)
+	}
+	r.progressf("all %d have found each other after %.1f s", len(r.nodes), res.Met)
+	return nil
+}
+
+// countFlows counts the flows among the events, in all and by answer.
+func (r *Result) countFlows() {
+	for _, e := range r.Events {
+		if e.What == eventFlow {
+			r.Calls++
+			r.Answers[e.Answer]++
 		}
 	}
-	res.Breaks, res.Deaths = Judge(s, res, against), Deaths(s, res.Events)
-	return res, nil
 }
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -13,40 +13,42 @@
 	"time"
 )
 
-const leaveWithin = 5 * time.Second // for a process that was asked to leave, as the platform gives it
+// shutdownTimeout is the time after which a process that was asked to leave is killed, as the platform does.
+const shutdownTimeout = 5 * time.Second
 
-// process is one process of the program.
+// process is a running process of the program.
 type process struct {
 	cmd    *exec.Cmd
 	exited chan struct{}
-	ready  chan struct{} // it has said that it is a member
+	ready  chan struct{} // closed when its log says that it is a member of its fleet
 	once   sync.Once
 }
 
-// logLine is what the rig reads of a node's log.
+// logLine holds the fields that the rig reads of a line of a node's log.
 type logLine struct {
 	Message string `json:"message"`
 	Member  string `json:"member"`
 	State   string `json:"state"`
 }
 
-// node is one node of the rig: its addresses, its directory and the process, or the two of an upgrade.
+// node is a node of the rig: its addresses, its directory and its process, or the two processes of an upgrade.
 type node struct {
-	rig     *Rig
-	i       int
-	dir     string
-	client  string // addresses
-	admin   string
-	fleet   string
-	mu      sync.Mutex
-	now     *process // the one that serves
-	elder   *process
-	stopped bool
+	rig    *Rig
+	i      int
+	dir    string
+	client string // addresses
+	admin  string
+	fleet  string
+
+	mu          sync.Mutex // guards the fields below
+	now         *process   // the process that serves
+	predecessor *process   // hands over to now in an upgrade
+	stopped     bool       // by SIGSTOP
 }
 
 func (n *node) name() string { return fmt.Sprintf("n%d", n.i) }
 
-// launch starts a process of the node.
+// launch starts a process of the node and records what it logs until it has ended.
 func (n *node) launch() (*process, error) {
 	p := &process{exited: make(chan struct{}), ready: make(chan struct{})}
 	p.cmd = exec.Command(n.rig.Program)
@@ -63,7 +65,7 @@
 		log.Close()
 		return nil, err
 	}
-	n.rig.history.add(Event{What: "start", Node: n.i, Note: fmt.Sprint(p.cmd.Process.Pid)})
+	n.rig.history.add(Event{What: eventStart, Node: n.i, Note: fmt.Sprint(p.cmd.Process.Pid)})
 	go func() {
 		in := bufio.NewScanner(pipe)
 		in.Buffer(nil, 1<<20)
@@ -75,7 +77,7 @@
 			}
 			switch l.Message {
 			case "member":
-				n.rig.history.add(Event{What: "member", Node: n.i, Member: l.Member, State: l.State})
+				n.rig.history.add(Event{What: eventMember, Node: n.i, Member: l.Member, State: l.State})
 			case "member of a fleet":
 				p.once.Do(func() { close(p.ready) })
 			}
@@ -86,13 +88,13 @@
 		if err != nil {
 			note = err.Error()
 		}
-		n.rig.history.add(Event{What: "exit", Node: n.i, Note: note})
+		n.rig.history.add(Event{What: eventExit, Node: n.i, Note: note})
 		close(p.exited)
 	}()
 	return p, nil
 }
 
-// start starts the node where it does not run.
+// start starts the node unless it runs.
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -104,19 +106,18 @@
 	return err
 }
 
-// copyDir keeps a copy of the node's directory beside it; the log, and sockets of a hand-over, are not the
-// node's to keep.
+// copyDir copies the node's directory to a directory beside it, without the log and the sockets of a handover.
 func (n *node) copyDir() error { return copyFiles(n.dir, n.dir+".old") }
 
-// putBack gives the node the directory as it was copied.
-func (n *node) putBack() error {
+// restoreDir replaces the node's directory by the copy of copyDir.
+func (n *node) restoreDir() error {
 	if err := os.RemoveAll(n.dir); err != nil {
 		return err
 	}
 	return copyFiles(n.dir+".old", n.dir)
 }
 
-// copyFiles copies a directory's regular files, without the log.
+// copyFiles copies a directory's regular files, except the log.
 func copyFiles(from, to string) error {
 	if err := os.MkdirAll(to, 0o755); err != nil {
 		return err
@@ -135,7 +136,7 @@
 			return nil
 		}
 		text, err := os.ReadFile(path)
-		if errors.Is(err, os.ErrNotExist) { // the node's own to take away
+		if errors.Is(err, os.ErrNotExist) { // the node has removed it meanwhile
 			return nil
 		}
 		if err != nil {
@@ -145,18 +146,18 @@
 	})
 }
 
-// up tells whether a process of the node runs and is not stopped.
+// up reports whether the node runs and is not stopped.
 func (n *node) up() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.now != nil && !n.stopped
 }
 
-// processes gives those that there are.
+// processes returns the node's processes.
 func (n *node) processes() (out []*process) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, p := range []*process{n.now, n.elder} {
+	for _, p := range []*process{n.now, n.predecessor} {
 		if p != nil {
 			out = append(out, p)
 		}
@@ -164,39 +165,39 @@
 	return out
 }
 
-// kill ends the node's processes at once and waits for it.
+// kill kills the node's processes and waits until they have ended.
 func (n *node) kill() {
 	for _, p := range n.processes() {
 		p.cmd.Process.Kill()
 		<-p.exited
 	}
 	n.mu.Lock()
-	n.now, n.elder, n.stopped = nil, nil, false
+	n.now, n.predecessor, n.stopped = nil, nil, false
 	n.mu.Unlock()
 }
 
-// leave asks a process to leave and waits for it, killing it after a while as the platform does.
+// leave asks a process to leave and waits until it has ended; it is killed after shutdownTimeout.
 func (p *process) leave() {
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-p.exited:
-	case <-time.After(leaveWithin):
+	case <-time.After(shutdownTimeout):
 		p.cmd.Process.Kill()
 		<-p.exited
 	}
 }
 
-// leave asks the node to leave and waits for it.
+// leave asks the node's processes to leave and waits until they have ended.
 func (n *node) leave() {
 	for _, p := range n.processes() {
 		p.leave()
 	}
 	n.mu.Lock()
-	n.now, n.elder = nil, nil
+	n.now, n.predecessor = nil, nil
 	n.mu.Unlock()
 }
 
-// stop holds the node's processes up, or has them go on.
+// stop stops the node's processes, or continues them where held is false.
 func (n *node) stop(held bool) {
 	sig := syscall.SIGCONT
 	if held {
@@ -210,12 +211,13 @@
 	n.mu.Unlock()
 }
 
-// upgrade starts a process beside the one that serves, which is asked to leave once it has handed over.
+// upgrade starts a second process, which takes over from the serving one. The predecessor is asked to leave once the
+// new process is a member, or after shutdownTimeout.
 func (n *node) upgrade() error {
 	n.mu.Lock()
-	elder := n.now
+	predecessor := n.now
 	n.mu.Unlock()
-	if elder == nil {
+	if predecessor == nil {
 		return nil
 	}
 	p, err := n.launch()
@@ -223,17 +225,17 @@
 		return err
 	}
 	n.mu.Lock()
-	n.now, n.elder = p, elder
+	n.now, n.predecessor = p, predecessor
 	n.mu.Unlock()
 	select {
 	case <-p.ready:
 	case <-p.exited:
-	case <-time.After(leaveWithin):
+	case <-time.After(shutdownTimeout):
 	}
-	elder.leave()
+	predecessor.leave()
 	n.mu.Lock()
-	if n.elder == elder {
-		n.elder = nil
+	if n.predecessor == predecessor {
+		n.predecessor = nil
 	}
 	n.mu.Unlock()
 	return nil
--- a/internal/rig/progress.go
+++ b/internal/rig/progress.go
@@ -6,14 +6,19 @@
 	"time"
 )
 
-func (r *Rig) say(format string, args ...any) {
+// progressf formats a progress line and passes it on.
+func (r *Rig) progressf(format string, args ...any) {
 	if r.Progress != nil {
 		r.Progress(fmt.Sprintf(format, args...))
 	}
 }
 
-// tell says every other second how it goes, until the function that it gives is called.
-func (r *Rig) tell(ctx context.Context) func() {
+// progressInterval is the time between two progress lines about the state of a run.
+const progressInterval = 2 * time.Second
+
+// reportProgress reports the state of the run at intervals until the context ends or the returned function is called,
+// which waits for the last report.
+func (r *Rig) reportProgress(ctx context.Context) func() {
 	if r.Progress == nil {
 		return func() {}
 	}
@@ -23,28 +28,11 @@
 		defer close(done)
 		for {
 			select {
-			case <-time.After(2 * time.Second):
+			case <-time.After(progressInterval):
 			case <-ctx.Done():
 				return
 			}
-			least, most := len(r.nodes)+1, 0
-			answers := r.views(ctx)
-			for _, a := range answers {
-				if a.err != nil {
-					continue
-				}
-				alive := 0
-				for _, m := range a.view.Members {
-					if m.State == "alive" {
-						alive++
-					}
-				}
-				least, most = min(least, alive), max(most, alive)
-			}
-			if ctx.Err() == nil && most > 0 {
-				r.say("%5.1f s  %d of %d run, each sees %d to %d alive, %d flows", r.history.now(), len(answers), len(r.nodes),
-					least, most, r.history.flows())
-			}
+			r.reportState(ctx)
 		}
 	}()
 	return func() {
@@ -52,3 +40,25 @@
 		<-done
 	}
 }
+
+// reportState reports how many nodes run, how many members they hold for alive and how many flows have ended.
+func (r *Rig) reportState(ctx context.Context) {
+	least, most := len(r.nodes)+1, 0
+	answers := r.views(ctx)
+	for _, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		alive := 0
+		for _, m := range a.view.Members {
+			if m.State == memberAlive {
+				alive++
+			}
+		}
+		least, most = min(least, alive), max(most, alive)
+	}
+	if ctx.Err() == nil && most > 0 {
+		r.progressf("%5.1f s  %d of %d run, each sees %d to %d alive, %d flows", r.history.now(), len(answers),
+			len(r.nodes), least, most, r.history.flows())
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -8,16 +8,16 @@
 	"gorseledge/internal/rig/standin"
 )
 
-// Options are how a script is played.
+// Options say how a script is run.
 type Options struct {
-	Program  string // the built node
+	Program  string // path of the built node
 	Seed     uint64
-	Dir      string            // for the nodes' directories
-	History  string            // file; none where it is empty
-	Progress func(line string) // told as it goes
+	Dir      string            // parent of the nodes' directories
+	History  string            // file for the events (JSON Lines); none where empty
+	Progress func(line string) // receives a line now and then; may be nil
 }
 
-// Rig is a run under way.
+// Rig is a run in progress: the nodes, the relays between them and the stand-ins around them.
 type Rig struct {
 	Options
 	script  *Script
@@ -29,10 +29,10 @@
 	client  *http.Client
 	flows   sync.WaitGroup
 	rand    *rand.Rand
-	mu      sync.Mutex // over rand
+	mu      sync.Mutex // guards rand
 }
 
-// close ends everything that the rig started and waits for it.
+// close stops everything that the rig started and waits until it has ended.
 func (r *Rig) close() {
 	for _, n := range r.nodes {
 		n.kill()
--- a/internal/rig/setup.go
+++ b/internal/rig/setup.go
@@ -11,12 +11,13 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/fleet"
 	"gorseledge/internal/rig/standin"
 )
 
-// raise starts everything.
-func (r *Rig) raise() (err error) {
+// start starts the stand-ins, the relays and the nodes.
+func (r *Rig) start() (err error) {
 	if r.hosts, err = standin.StartHosts(r.script.Hosts); err != nil {
 		return err
 	}
@@ -41,7 +42,7 @@
 		}
 	}
 	for _, n := range r.nodes {
-		if err := r.prepare(n); err != nil {
+		if err := r.writeNodeFiles(n); err != nil {
 			return err
 		}
 		if err := n.start(); err != nil {
@@ -51,7 +52,7 @@
 	return nil
 }
 
-// free gives a free address of node i's own: TCP and UDP are asked for on the same port.
+// free returns an address of node i whose port is free for both TCP and UDP.
 func free(i int) (string, error) {
 	host := fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200)
 	for range 50 {
@@ -70,8 +71,8 @@
 	return "", errors.New("no free address")
 }
 
-// prepare writes a node's directory: its config and its fleet file.
-func (r *Rig) prepare(n *node) error {
+// writeNodeFiles writes a node's directory: its config and its fleet file.
+func (r *Rig) writeNodeFiles(n *node) error {
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return err
 	}
@@ -103,21 +104,76 @@
 	return os.WriteFile(filepath.Join(n.dir, "config.json"), text, 0o600)
 }
 
-// config is a node's; path is of its fleet file, if it is to have one.
-func config(n *node, discovery, path string, seed uint64, nodes int) map[string]any {
-	c := map[string]any{
-		"name": n.name(), "listen": n.client, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed),
-		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
-		"known":  nil, "settings": map[string]any{
-			"family_info": map[string]any{"mode": "proxy"}, "granularity_us": 4000, "siblings": nodes,
-			"zones": []string{"a"}, "limits": map[string]any{"dial_timeout_us": 1000000, "max_connects": 3,
-				"max_retry_after_us": 2000000, "retry_after": true},
-			"service_types": []any{map[string]any{"name": "chat", "effect": "repeatable", "give_up_us": 2000000}}}}
-	if n.admin != "" {
-		c["admin_addr"] = n.admin
-	}
-	if path != "" {
-		c["fleet"] = path
+// nodeConfig is the config file of a node.
+type nodeConfig struct {
+	Name      string       `json:"name"`
+	Listen    string       `json:"listen"`
+	Discovery string       `json:"discovery"`
+	Admin     string       `json:"admin_addr,omitempty"`
+	Fleet     string       `json:"fleet,omitempty"` // path of the fleet file
+	Seed      string       `json:"seed"`            // hexadecimal
+	Limits    nodeLimits   `json:"limits"`
+	Known     *roster.List `json:"known"` // hosts that the node has known for long
+	Settings  nodeSettings `json:"settings"`
+}
+
+// nodeLimits are the resources that a node is told it has.
+type nodeLimits struct {
+	Cores    int `json:"cores"`
+	MemoryMB int `json:"memory_mb"`
+	Sockets  int `json:"sockets"`
+}
+
+// nodeSettings are the settings of a node's decisions. Times are microseconds.
+type nodeSettings struct {
+	Family       familyInfo     `json:"family_info"`
+	Granularity  int            `json:"granularity_us"`
+	Siblings     int            `json:"siblings"` // nodes of the fleet
+	Zones        []string       `json:"zones"`
+	Limits       settingsLimits `json:"limits"`
+	ServiceTypes []serviceType  `json:"service_types"`
+}
+
+type familyInfo struct {
+	Mode string `json:"mode"`
+}
+
+type settingsLimits struct {
+	DialTimeout   int  `json:"dial_timeout_us"`
+	MaxConnects   int  `json:"max_connects"`
+	MaxRetryAfter int  `json:"max_retry_after_us"`
+	RetryAfter    bool `json:"retry_after"`
+}
+
+type serviceType struct {
+	Name   string `json:"name"`
+	Effect string `json:"effect"`
+	GiveUp int    `json:"give_up_us"`
+}
+
+// config returns the config of a node in a fleet of so many nodes. fleetFile is the path of its fleet file, empty for a
+// node without a fleet.
+func config(n *node, discovery, fleetFile string, seed uint64, nodes int) nodeConfig {
+	return nodeConfig{
+		Name:      n.name(),
+		Listen:    n.client,
+		Discovery: discovery,
+		Admin:     n.admin,
+		Fleet:     fleetFile,
+		Seed:      fmt.Sprintf("%016x", seed),
+		Limits:    nodeLimits{Cores: 1, MemoryMB: 128, Sockets: 512},
+		Settings: nodeSettings{
+			Family:      familyInfo{Mode: "proxy"},
+			Granularity: 4000,
+			Siblings:    nodes,
+			Zones:       []string{"a"},
+			Limits: settingsLimits{
+				DialTimeout:   1000000,
+				MaxConnects:   3,
+				MaxRetryAfter: 2000000,
+				RetryAfter:    true,
+			},
+			ServiceTypes: []serviceType{{Name: "chat", Effect: "repeatable", GiveUp: 2000000}},
+		},
 	}
-	return c
 }
--- a/internal/rig/timeline.go
+++ b/internal/rig/timeline.go
@@ -20,8 +20,8 @@
 	green  = color.RGBA{40, 150, 60, 255}
 )
 
-// Timeline draws a run as SVG: a row a node with the faults that befell it, and above its row who was told
-// what of it, and when: suspicions, deaths, and that it lives again.
+// Timeline draws a run as SVG. Each node has a row with its faults; the dots above the row are the changes of its state
+// that the other nodes saw, each node at a height of its own.
 func Timeline(r *Result) ([]byte, error) {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("seed %d: faults, and what the others held of each node", r.Seed)
@@ -41,11 +41,11 @@
 		p.Add(l)
 		return nil
 	}
-	end := last(r.Events)
+	end := endOf(r.Events)
 	for _, e := range episodes(r.Events) {
-		e.to = min(e.to, end) // one that was not over lasts to the end
+		e.to = min(e.to, end) // a fault that is not over lasts to the end
 		c, lift := color.Color(grey), 0.0
-		if kinds[e.Kind].way {
+		if faultKinds[e.Kind].onLink {
 			c, lift = blue, -0.15
 		}
 		for _, n := range e.Nodes {
@@ -54,18 +54,20 @@
 			}
 		}
 	}
-	told := map[string]plotter.XYs{}
+	changes := map[string]plotter.XYs{}
 	for _, e := range r.Events {
-		if e.What == "member" && number(e.Member) >= 0 && number(e.Member) < r.Nodes {
+		if e.What == eventMember && nodeIndex(e.Member) >= 0 && nodeIndex(e.Member) < r.Nodes {
 			lift := 0.2 + 0.6*float64(e.Node)/float64(r.Nodes)
-			told[e.State] = append(told[e.State], plotter.XY{X: e.At, Y: float64(number(e.Member)) + lift})
+			changes[e.State] = append(changes[e.State], plotter.XY{X: e.At, Y: float64(nodeIndex(e.Member)) + lift})
 		}
 	}
-	for state, c := range map[string]color.Color{"alive": green, "suspect": orange, "dead": red, "left": blue} {
-		if len(told[state]) == 0 {
+	for state, c := range map[string]color.Color{
+		memberAlive: green, memberSuspect: orange, memberDead: red, memberLeft: blue,
+	} {
+		if len(changes[state]) == 0 {
 			continue
 		}
-		s, err := plotter.NewScatter(told[state])
+		s, err := plotter.NewScatter(changes[state])
 		if err != nil {
 			return nil, err
 		}
--- a/internal/rig/traffic.go
+++ b/internal/rig/traffic.go
@@ -9,13 +9,18 @@
 )
 
 const (
-	timeout   = 2.0 // of a flow, in seconds
-	grace     = 5.0 // for an answer that is late, which is judged then
-	flowLines = 4
+	flowTimeout     = 2.0 // seconds that a client gives a node to answer
+	lateAnswerGrace = 5.0 // seconds more in which a late answer is still recorded
+	flowLines       = 4   // lines that a client sends on an established flow
+	flowLineGap     = 250 * time.Millisecond
+	budgetInterval  = time.Second
+
+	// ownBudgetShare is the part of a cold host's budget that the module gives out, over all nodes.
+	ownBudgetShare = 0.5
 )
 
-// traffic has clients come, each to a node that runs, until the first context ends; who is there stays to the
-// end.
+// traffic starts clients at random times, each at a random node that runs, until the first context ends. A client that
+// has come stays until its flow is over or the second context ends.
 func (r *Rig) traffic(ctx, whole context.Context) {
 	if r.script.Flows <= 0 {
 		return
@@ -31,37 +36,39 @@
 		case <-ctx.Done():
 			return
 		}
-		if !n.up() { // the front has noticed
+		if !n.up() { // as a front that sees which nodes run sends it no client
 			continue
 		}
 		r.flows.Go(func() {
 			began := r.history.now()
-			f := standin.Play(whole, n.client, fmt.Sprintf("%08x", id), key, timeout, grace, flowLines, 250*time.Millisecond)
-			if whole.Err() != nil { // the run is broken off
+			f := standin.Play(whole, n.client, fmt.Sprintf("%08x", id), key, flowTimeout, lateAnswerGrace, flowLines,
+				flowLineGap)
+			if whole.Err() != nil { // the run was interrupted
 				return
 			}
-			r.history.add(Event{What: "flow", Node: n.i, Answer: string(f.Answer), Count: f.Answers, Ended: f.Ended, Began: began})
+			r.history.add(Event{What: eventFlow, Node: n.i, Answer: string(f.Answer), Count: f.Answers, Ended: f.Ended,
+				Began: began})
 		})
 	}
 }
 
-// budget adds up, every second, what the nodes that run take for their part of what all share: the module
-// gives out half of a cold host's budget, by the number of nodes that it is told.
-func (r *Rig) budget(ctx context.Context) {
+// recordBudget records every second which part of a cold host's budget all running nodes together give out, each by
+// the number of nodes that it reckons with.
+func (r *Rig) recordBudget(ctx context.Context) {
 	for {
 		select {
-		case <-time.After(time.Second):
+		case <-time.After(budgetInterval):
 		case <-ctx.Done():
 			return
 		}
 		sum := 0.0
 		for _, a := range r.views(ctx) {
 			if a.err == nil && a.view.Nodes > 0 {
-				sum += 0.5 / float64(a.view.Nodes)
+				sum += ownBudgetShare / float64(a.view.Nodes)
 			}
 		}
 		if sum > 0 && ctx.Err() == nil {
-			r.history.add(Event{What: "budget", Part: sum})
+			r.history.add(Event{What: eventBudget, Part: sum})
 		}
 	}
 }
--- a/internal/rig/views.go
+++ b/internal/rig/views.go
@@ -12,9 +12,9 @@
 	"gorseledge/internal/fleet/view"
 )
 
-const look = 100 * time.Millisecond
+const agreementPoll = 100 * time.Millisecond // between two checks of whether all nodes agree
 
-// view asks a node for what it knows of its fleet.
+// view asks a node for its view of its fleet.
 func (r *Rig) view(ctx context.Context, n *node) (v view.View, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin+"/-/members", nil)
 	if err != nil {
@@ -29,14 +29,14 @@
 	return v, err
 }
 
-// answer is what a node that runs said when it was asked for its view.
+// answer is the view that a running node returned, or the error.
 type answer struct {
 	node *node
 	view view.View
 	err  error
 }
 
-// views asks all nodes that run at once.
+// views asks all running nodes for their views, in parallel.
 func (r *Rig) views(ctx context.Context) (out []answer) {
 	for _, n := range r.nodes {
 		if n.up() {
@@ -51,7 +51,8 @@
 	return out
 }
 
-// disagreement tells who does not hold exactly those that run for living, and where; nothing where all agree.
+// disagreement describes the first node that does not hold exactly the running nodes for alive. It returns an empty
+// string where all agree.
 func (r *Rig) disagreement(ctx context.Context) string {
 	answers := r.views(ctx)
 	up := map[string]bool{}
@@ -64,7 +65,7 @@
 		}
 		seen := map[string]bool{}
 		for _, m := range a.view.Members {
-			if alive := m.State == "alive"; alive != up[m.Name] {
+			if alive := m.State == memberAlive; alive != up[m.Name] {
 				return fmt.Sprintf("%s holds %s for %s", a.node.name(), m.Name, m.State)
 			}
 			seen[m.Name] = true
@@ -78,22 +79,22 @@
 	return ""
 }
 
-// agree waits until all agree and gives how long that took; -1 and what stood against it where it was too
-// long.
-func (r *Rig) agree(ctx context.Context, within float64) (took float64, against string, err error) {
+// awaitAgreement waits until all running nodes agree and returns the seconds that this took. Where it takes longer
+// than within seconds, it returns -1 and the last disagreement.
+func (r *Rig) awaitAgreement(ctx context.Context, within float64) (took float64, disagreement string, err error) {
 	for from := r.history.now(); ; {
-		against = r.disagreement(ctx)
+		disagreement = r.disagreement(ctx)
 		took = r.history.now() - from
-		if against == "" && ctx.Err() == nil {
+		if disagreement == "" && ctx.Err() == nil {
 			return took, "", nil
 		}
 		if took > within {
-			return -1, against, ctx.Err()
+			return -1, disagreement, ctx.Err()
 		}
 		select {
-		case <-time.After(look):
+		case <-time.After(agreementPoll):
 		case <-ctx.Done():
-			return -1, against, ctx.Err()
+			return -1, disagreement, ctx.Err()
 		}
 	}
 }
