gorselab: commands named as such, flags in structs, short functions

Cause: the functions of the commands had the names of their flags' effects (fleet, cost, broken) and each did its work in one closure of some sixty lines. Change: every constructor is named ...Command; fleet and members read their flags into a struct and run in functions of one job each; exit codes and bounds are constants; doc comments are whole sentences.

--- a/cmd/gorselab/cost.go
+++ b/cmd/gorselab/cost.go
@@ -11,8 +11,8 @@
 	"gorseledge/internal/rig"
 )
 
-// cost measures what a node's process spends.
-func cost() *cobra.Command {
+// costCommand returns the command that measures the CPU time of node processes.
+func costCommand() *cobra.Command {
 	var rounds int
 	var load rig.Load
 	c := &cobra.Command{Use: "cost NODE...", Args: cobra.MinimumNArgs(1),
--- a/cmd/gorselab/fleet.go
+++ b/cmd/gorselab/fleet.go
@@ -19,79 +19,97 @@
 	"gorseledge/internal/rig"
 )
 
-// fleet plays a script with processes of the built program.
-func fleet() *cobra.Command {
-	var from, seeds uint64
-	var out, program string
-	var quiet bool
+// maxFleetSeeds bounds --seeds: each run takes tens of seconds.
+const maxFleetSeeds = 10000
+
+// fleetOptions are the flags of the fleet command.
+type fleetOptions struct {
+	from, seeds uint64
+	out         string // directory for what is kept; none where empty
+	program     string // path of the built node; built from this checkout where empty
+	quiet       bool
+}
+
+// fleetCommand returns the command that runs a script with processes of the built program.
+func fleetCommand() *cobra.Command {
+	var o fleetOptions
 	c := &cobra.Command{Use: "fleet SCRIPT", Args: cobra.ExactArgs(1),
 		Short: "Start several nodes with stand-ins for hosts, discovery and clients, and break what lies between them",
 		Long: "Starts processes of the built program on loopback addresses of their own, with stand-ins for hosts, discovery\n" +
 			"and clients, brings the script's faults about and judges what was seen. Ends with 0 where all held, 1 where\n" +
 			"something broke, 2 where the script or the machine is at fault.",
-		RunE: func(cmd *cobra.Command, args []string) error {
-			s, err := rig.ReadFile(args[0])
-			if err != nil {
-				return err
-			}
-			if seeds < 1 || seeds > 10000 {
-				return fmt.Errorf("--seeds is %d, and goes from 1 to 10000", seeds)
-			}
-			scratch, err := os.MkdirTemp("", "gorselab")
-			if err != nil {
-				return err
-			}
-			defer os.RemoveAll(scratch)
-			if program == "" {
-				if program, err = build(cmd, scratch); err != nil {
-					return err
-				}
-			}
-			say := func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
-			if quiet {
-				say = nil
-			}
-			broken := 0
-			var played []*rig.Result
-			for seed := from; seed < from+seeds; seed++ {
-				o := rig.Options{Program: program, Seed: seed, Dir: filepath.Join(scratch, fmt.Sprint(seed)), Progress: say}
-				if out != "" {
-					if err := os.MkdirAll(out, 0o755); err != nil {
-						return err
-					}
-					o.Dir = filepath.Join(out, fmt.Sprintf("nodes-%d", seed))
-					o.History = filepath.Join(out, fmt.Sprintf("history-%d.jsonl", seed))
-				}
-				r, err := rig.Play(cmd.Context(), s, o)
-				if err != nil {
-					return err
-				}
-				if err := keep(out, r); err != nil {
-					return err
-				}
-				report(cmd, r, seeds == 1)
-				broken += len(r.Breaks)
-				r.Events = nil
-				played = append(played, r)
-				os.RemoveAll(filepath.Join(scratch, fmt.Sprint(seed)))
-			}
-			if seeds > 1 {
-				summary(cmd.OutOrStdout(), played)
-			}
-			if broken > 0 {
-				return brokenRules(broken)
-			}
-			return nil
-		}}
-	c.Flags().Uint64Var(&from, "seed", 1, "all chance of the rig comes from it")
-	c.Flags().Uint64Var(&seeds, "seeds", 1, "how many seeds, from that one on")
-	c.Flags().StringVar(&out, "out", "", "keep history, result, timeline and the nodes' directories here")
-	c.Flags().StringVar(&program, "node", "", "the built node; built from this checkout where it is missing")
-	c.Flags().BoolVar(&quiet, "quiet", false, "say only how it ended")
+		RunE: func(cmd *cobra.Command, args []string) error { return runFleets(cmd, args[0], o) }}
+	c.Flags().Uint64Var(&o.from, "seed", 1, "all chance of the rig comes from it")
+	c.Flags().Uint64Var(&o.seeds, "seeds", 1, "how many seeds, from that one on")
+	c.Flags().StringVar(&o.out, "out", "", "keep history, result, timeline and the nodes' directories here")
+	c.Flags().StringVar(&o.program, "node", "", "the built node; built from this checkout where it is missing")
+	c.Flags().BoolVar(&o.quiet, "quiet", false, "say only how it ended")
 	return c
 }
 
-// build builds the node of this checkout.
+// runFleets runs a script with each seed and reports the results. It returns brokenRules where a rule was broken.
+func runFleets(cmd *cobra.Command, path string, o fleetOptions) error {
+	script, err := rig.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if o.seeds < 1 || o.seeds > maxFleetSeeds {
+		return fmt.Errorf("--seeds is %d, and goes from 1 to %d", o.seeds, maxFleetSeeds)
+	}
+	scratch, err := os.MkdirTemp("", "gorselab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(scratch)
+	if o.program == "" {
+		if o.program, err = build(cmd, scratch); err != nil {
+			return err
+		}
+	}
+	broken := 0
+	var results []*rig.Result
+	for seed := o.from; seed < o.from+o.seeds; seed++ {
+		result, err := runFleet(cmd, script, seed, scratch, o)
+		if err != nil {
+			return err
+		}
+		report(cmd.OutOrStdout(), result, o.seeds == 1)
+		broken += len(result.Breaks)
+		result.Events = nil // of many seeds they would fill the memory
+		results = append(results, result)
+	}
+	if o.seeds > 1 {
+		summary(cmd.OutOrStdout(), results)
+	}
+	if broken > 0 {
+		return brokenRules(broken)
+	}
+	return nil
+}
+
+// runFleet runs a script with one seed and keeps what the options ask for.
+func runFleet(cmd *cobra.Command, script *rig.Script, seed uint64, scratch string, o fleetOptions) (*rig.Result, error) {
+	temporary := filepath.Join(scratch, fmt.Sprint(seed))
+	defer os.RemoveAll(temporary)
+	options := rig.Options{Program: o.program, Seed: seed, Dir: temporary}
+	if !o.quiet {
+		options.Progress = func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
+	}
+	if o.out != "" {
+		if err := os.MkdirAll(o.out, 0o755); err != nil {
+			return nil, err
+		}
+		options.Dir = filepath.Join(o.out, fmt.Sprintf("nodes-%d", seed))
+		options.History = filepath.Join(o.out, fmt.Sprintf("history-%d.jsonl", seed))
+	}
+	result, err := rig.Play(cmd.Context(), script, options)
+	if err != nil {
+		return nil, err
+	}
+	return result, keep(o.out, result)
+}
+
+// build builds the node of this checkout into a directory and returns its path.
 func build(cmd *cobra.Command, dir string) (string, error) {
 	mod, err := exec.Command("go", "env", "GOMOD").Output()
 	root := filepath.Dir(strings.TrimSpace(string(mod)))
@@ -107,7 +125,7 @@
 	return program, nil
 }
 
-// keep writes what came of a run.
+// keep writes the result and the timeline of a run into a directory; an empty name keeps nothing.
 func keep(out string, r *rig.Result) error {
 	if out == "" {
 		return nil
@@ -127,7 +145,13 @@
 	return lab.Keep(filepath.Join(out, fmt.Sprintf("timeline-%d.svg", r.Seed)), text)
 }
 
-// summary prints what several seeds showed, as a row of a table.
+// quantity is a row of the summary: what was measured, and the values of all runs in seconds.
+type quantity struct {
+	name   string
+	values []float64
+}
+
+// summary prints a table over the runs of several seeds: counts, and the median and 99th percentile of times.
 func summary(w io.Writer, played []*rig.Result) {
 	var calls, faults, broken int
 	var met, agreed, first, last []float64
@@ -146,47 +170,53 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	defer t.Flush()
 	fmt.Fprintf(t, "seeds\t%d\ncalls\t%d\nfaults\t%d\nbroken\t%d\n", len(played), calls, faults, broken)
-	for _, row := range []struct {
-		what string
-		of   []float64
-	}{{"met", met}, {"agreed after the last fault", agreed}, {"death known to the first", first}, {"death known to the last", last}} {
-		if len(row.of) > 0 {
-			fmt.Fprintf(t, "%s, median and 99th\t%.2f s\t%.2f s\t(%d)\n", row.what, members.Quantile(row.of, 0.5),
-				members.Quantile(row.of, 0.99), len(row.of))
+	for _, q := range []quantity{
+		{"met", met},
+		{"agreed after the last fault", agreed},
+		{"death known to the first", first},
+		{"death known to the last", last},
+	} {
+		if len(q.values) > 0 {
+			fmt.Fprintf(t, "%s, median and 99th\t%.2f s\t%.2f s\t(%d)\n", q.name, members.Quantile(q.values, 0.5),
+				members.Quantile(q.values, 0.99), len(q.values))
 		}
 	}
 }
 
-// report prints the run's table and its last line.
-func report(cmd *cobra.Command, r *rig.Result, whole bool) {
-	w := cmd.OutOrStdout()
+// report prints the violations of a run and its last line, with a table before them where whole is true.
+func report(w io.Writer, r *rig.Result, whole bool) {
 	if whole {
-		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-		fmt.Fprintf(t, "nodes\t%d\nmet after\t%.1f s\n", r.Nodes, r.Met)
-		if r.Agreed >= 0 {
-			fmt.Fprintf(t, "agreed after the last fault\t%.1f s\n", r.Agreed)
-		}
-		var answers []string
-		for a := range r.Answers {
-			answers = append(answers, a)
-		}
-		slices.Sort(answers)
-		for _, a := range answers {
-			fmt.Fprintf(t, "flows answered %s\t%d\n", a, r.Answers[a])
-		}
-		states := map[string]int{}
-		for _, e := range r.Events {
-			if e.What == "member" {
-				states[e.State]++
-			}
-		}
-		for _, s := range []string{"suspect", "dead", "left"} {
-			fmt.Fprintf(t, "times held for %s\t%d\n", s, states[s])
-		}
-		t.Flush()
+		reportTable(w, r)
 	}
 	for _, b := range r.Breaks {
 		fmt.Fprintln(w, "broken:", b)
 	}
 	fmt.Fprintln(w, r.Summary())
 }
+
+// reportTable prints the table of a run.
+func reportTable(w io.Writer, r *rig.Result) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "nodes\t%d\nmet after\t%.1f s\n", r.Nodes, r.Met)
+	if r.Agreed >= 0 {
+		fmt.Fprintf(t, "agreed after the last fault\t%.1f s\n", r.Agreed)
+	}
+	var answers []string
+	for a := range r.Answers {
+		answers = append(answers, a)
+	}
+	slices.Sort(answers)
+	for _, a := range answers {
+		fmt.Fprintf(t, "flows answered %s\t%d\n", a, r.Answers[a])
+	}
+	states := map[string]int{}
+	for _, e := range r.Events {
+		if e.What == "member" {
+			states[e.State]++
+		}
+	}
+	for _, s := range []string{"suspect", "dead", "left"} {
+		fmt.Fprintf(t, "times held for %s\t%d\n", s, states[s])
+	}
+	t.Flush()
+}
--- a/cmd/gorselab/main.go
+++ b/cmd/gorselab/main.go
@@ -1,4 +1,7 @@
-// Command gorselab plays experiments on the emulator and keeps their tables. All its figures are simulated.
+// Command gorselab runs experiments: fleets on the emulator's virtual clock, fleets of the membership core, and fleets of
+// real processes under faults. Figures of the virtual clock are simulated.
+//
+// It exits with 0 where all held, 1 where a rule was broken, and 2 where it could not run.
 package main
 
 import (
@@ -16,35 +19,41 @@
 	"gorseledge/internal/lab"
 )
 
+const (
+	exitBroken = 1 // a rule was broken
+	exitFailed = 2 // the command could not run
+)
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := root().ExecuteContext(ctx)
+	err := rootCommand().ExecuteContext(ctx)
 	stop()
 	var broken brokenRules
 	switch {
 	case errors.As(err, &broken):
 		fmt.Fprintln(os.Stderr, "gorselab:", err)
-		os.Exit(1)
+		os.Exit(exitBroken)
 	case err != nil:
 		fmt.Fprintln(os.Stderr, "gorselab:", err)
-		os.Exit(2)
+		os.Exit(exitFailed)
 	}
 }
 
-// brokenRules says how often something was broken that must hold.
+// brokenRules is the error of a run in which rules were broken; its value is the number of times.
 type brokenRules int
 
 func (b brokenRules) Error() string { return fmt.Sprintf("rules broken: %d times", int(b)) }
 
-func root() *cobra.Command {
+// rootCommand returns the command with all subcommands.
+func rootCommand() *cobra.Command {
 	top := &cobra.Command{Use: "gorselab", Short: "Plays fleets on a virtual clock and keeps what came of it (simulated)",
 		SilenceUsage: true, SilenceErrors: true}
-	top.AddCommand(emulate(), sweep(), compare(), fleet(), membersCommand(), cost())
+	top.AddCommand(emulateCommand(), sweepCommand(), compareCommand(), fleetCommand(), membersCommand(), costCommand())
 	return top
 }
 
-// emulate plays a script once.
-func emulate() *cobra.Command {
+// emulateCommand returns the command that runs a script once on the emulator.
+func emulateCommand() *cobra.Command {
 	var seed uint64
 	var permute, trace bool
 	c := &cobra.Command{Use: "emulate SCRIPT", Short: "Play a script once and print its figures", Args: cobra.ExactArgs(1),
@@ -60,7 +69,7 @@
 			}
 			r := emulator.Play(s, seed, o)
 			fmt.Fprintf(cmd.OutOrStdout(), "%s\ntrace %016x\n", lab.CSV([]*emulator.Result{r}), r.Trace)
-			return broken(cmd, r)
+			return reportBroken(cmd, r)
 		}}
 	c.Flags().Uint64Var(&seed, "seed", 1, "all chance comes from it")
 	c.Flags().BoolVar(&permute, "permute", false, "draw the order of events of one instant from the seed")
@@ -68,8 +77,9 @@
 	return c
 }
 
-// broken prints what was broken: the seed, the step and what came before it.
-func broken(cmd *cobra.Command, results ...*emulator.Result) error {
+// reportBroken prints the first violation of each result with its seed and the steps before it. It returns brokenRules
+// where there are any.
+func reportBroken(cmd *cobra.Command, results ...*emulator.Result) error {
 	n := 0
 	for _, r := range results {
 		for i, b := range r.Breaks {
@@ -87,8 +97,8 @@
 	return nil
 }
 
-// sweep plays a script under many seeds.
-func sweep() *cobra.Command {
+// sweepCommand returns the command that runs a script with many seeds on the emulator.
+func sweepCommand() *cobra.Command {
 	var from, count uint64
 	var atOnce int
 	var out string
@@ -116,7 +126,7 @@
 				}
 			}
 			cmd.OutOrStdout().Write(lab.Markdown(results))
-			return broken(cmd, results...)
+			return reportBroken(cmd, results...)
 		}}
 	c.Flags().Uint64Var(&from, "from", 1, "first seed")
 	c.Flags().Uint64Var(&count, "seeds", 20, "how many seeds")
@@ -126,8 +136,8 @@
 	return c
 }
 
-// compare sets two tables beside each other.
-func compare() *cobra.Command {
+// compareCommand returns the command that compares two tables of results.
+func compareCommand() *cobra.Command {
 	return &cobra.Command{Use: "compare BEFORE AFTER", Short: "Compare two tables of the same seeds", Args: cobra.ExactArgs(2),
 		Long: "A difference is claimed only where it is over twice the error of the differences, seed by seed.",
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/cmd/gorselab/members.go
+++ b/cmd/gorselab/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
@@ -15,82 +16,116 @@
 	"gorseledge/internal/lab"
 )
 
-// membersCommand measures fleets of the membership core on the virtual clock.
+// Bounds of the sizes of fleets.
+const (
+	leastMembers = 3
+	mostMembers  = 2000
+)
+
+// idleSeconds is the virtual time for which a fleet without faults is measured.
+const idleSeconds = 60
+
+// membersOptions are the flags of the members command.
+type membersOptions struct {
+	nodes   []int // sizes of the fleets
+	seeds   int   // fleets of each size
+	fleet   members.Options
+	stalls  members.Stalls
+	seconds float64 // virtual duration of each measurement
+	idle    bool    // measure fleets without faults
+	charts  string  // directory for charts; none where empty
+}
+
+// membersCommand returns the command that measures fleets of the membership core on the virtual clock.
 func membersCommand() *cobra.Command {
-	var nodes []int
-	var seeds int
-	var o members.Options
-	var s members.Stalls
-	var seconds float64
-	var rest bool
-	var charts string
+	var o membersOptions
 	c := &cobra.Command{Use: "members", Short: "Measure detection, false deaths and load of the membership core (simulated)",
-		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, args []string) error {
-			if seeds < 1 || o.Loss < 0 || o.Loss >= 1 || s.Part < 0 || s.Part > 1 || seconds <= 0 || s.For <= 0 || s.Every <= s.For {
-				return fmt.Errorf("--seeds from 1 on, --loss and --stalls under 1, --for shorter than --every")
-			}
-			for _, n := range nodes {
-				if n < 3 || n > 2000 {
-					return fmt.Errorf("--nodes is %d, and goes from 3 to 2000", n)
-				}
-			}
-			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-			defer t.Flush()
-			if rest {
-				return idle(cmd.Context(), t, nodes, o)
-			}
-			fmt.Fprintln(t, "core\tnodes\tseeds\tfirst suspects, median\t99th\tfirst knows\tlast knows\t99th\tknown by\tfalse suspicions an hour\t"+
-				"false deaths an hour\tbytes a member and second")
-			for _, o.Nodes = range nodes {
-				var cores []members.Core
-				for _, o.Plain = range []bool{false, true} {
-					found, err := measure(cmd.Context(), o, s, seconds, seeds)
-					if err != nil {
-						return err
-					}
-					row(t, o, found)
-					cores = append(cores, members.Core{Name: name(o), Measures: found})
-				}
-				if charts == "" {
-					continue
-				}
-				text, err := members.Chart(o.Nodes, cores...)
-				if err != nil {
-					return err
-				}
-				if err := lab.Keep(filepath.Join(charts, fmt.Sprintf("members-%d.svg", o.Nodes)), text); err != nil {
-					return err
-				}
-			}
-			return nil
-		}}
-	c.Flags().IntSliceVar(&nodes, "nodes", []int{30, 300}, "sizes of the fleets")
-	c.Flags().StringVar(&charts, "charts", "", "draw a chart of each size into this directory")
-	c.Flags().BoolVar(&rest, "rest", false, "measure fleets at rest instead: CPU, memory, messages")
-	c.Flags().IntVar(&seeds, "seeds", 20, "fleets of each size")
-	c.Flags().Float64Var(&o.Loss, "loss", 0, "part of the messages that is lost")
-	c.Flags().Float64Var(&s.Part, "stalls", 0.1, "part of the nodes that stalls")
-	c.Flags().Float64Var(&s.For, "for", 2, "for so many seconds; the period is one")
-	c.Flags().Float64Var(&s.Every, "every", 15, "so often, in seconds")
-	c.Flags().Float64Var(&seconds, "seconds", 120, "so long")
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, args []string) error { return runMembers(cmd, o) }}
+	c.Flags().IntSliceVar(&o.nodes, "nodes", []int{30, 300}, "sizes of the fleets")
+	c.Flags().StringVar(&o.charts, "charts", "", "draw a chart of each size into this directory")
+	c.Flags().BoolVar(&o.idle, "rest", false, "measure fleets at rest instead: CPU, memory, messages")
+	c.Flags().IntVar(&o.seeds, "seeds", 20, "fleets of each size")
+	c.Flags().Float64Var(&o.fleet.Loss, "loss", 0, "part of the messages that is lost")
+	c.Flags().Float64Var(&o.stalls.Part, "stalls", 0.1, "part of the nodes that stalls")
+	c.Flags().Float64Var(&o.stalls.For, "for", 2, "for so many seconds; the period is one")
+	c.Flags().Float64Var(&o.stalls.Every, "every", 15, "so often, in seconds")
+	c.Flags().Float64Var(&o.seconds, "seconds", 120, "so long")
 	return c
 }
 
-// idle measures fleets at rest, one after the other.
-func idle(ctx context.Context, w io.Writer, nodes []int, o members.Options) error {
+// check returns an error where a flag is out of its range.
+func (o membersOptions) check() error {
+	s := o.stalls
+	if o.seeds < 1 || o.fleet.Loss < 0 || o.fleet.Loss >= 1 || s.Part < 0 || s.Part > 1 || o.seconds <= 0 || s.For <= 0 ||
+		s.Every <= s.For {
+		return errors.New("--seeds from 1 on, --loss and --stalls under 1, --for shorter than --every")
+	}
+	for _, n := range o.nodes {
+		if n < leastMembers || n > mostMembers {
+			return fmt.Errorf("--nodes is %d, and goes from %d to %d", n, leastMembers, mostMembers)
+		}
+	}
+	return nil
+}
+
+// runMembers measures fleets of each size, with Lifeguard's parts and without, and writes a table of them.
+func runMembers(cmd *cobra.Command, o membersOptions) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	defer t.Flush()
+	if o.idle {
+		return measureIdle(cmd.Context(), t, o.nodes, o.fleet)
+	}
+	fmt.Fprintln(t, "core\tnodes\tseeds\tfirst suspects, median\t99th\tfirst knows\tlast knows\t99th\tknown by\t"+
+		"false suspicions an hour\tfalse deaths an hour\tbytes a member and second")
+	for _, size := range o.nodes {
+		o.fleet.Nodes = size
+		if err := measureSize(cmd.Context(), t, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measureSize measures fleets of one size, writes a row for each core and draws a chart where the options ask for it.
+func measureSize(ctx context.Context, w io.Writer, o membersOptions) error {
+	var cores []members.Core
+	for _, plain := range []bool{false, true} {
+		o.fleet.Plain = plain
+		found, err := measure(ctx, o.fleet, o.stalls, o.seconds, o.seeds)
+		if err != nil {
+			return err
+		}
+		writeRow(w, o.fleet, found)
+		cores = append(cores, members.Core{Name: coreName(o.fleet), Measures: found})
+	}
+	if o.charts == "" {
+		return nil
+	}
+	text, err := members.Chart(o.fleet.Nodes, cores...)
+	if err != nil {
+		return err
+	}
+	return lab.Keep(filepath.Join(o.charts, fmt.Sprintf("members-%d.svg", o.fleet.Nodes)), text)
+}
+
+// measureIdle measures fleets without faults, one after the other, and writes a row for each.
+func measureIdle(ctx context.Context, w io.Writer, nodes []int, o members.Options) error {
 	fmt.Fprintln(w, "members\tCPU a member and second, us\tmemory a member, kB\tmessages a second\tbytes a second")
 	for _, o.Nodes = range nodes {
 		if err := ctx.Err(); err != nil {
 			return err
 		}
 		o.Seed = 1
-		r := members.Idle(o, 60)
+		r := members.Idle(o, idleSeconds)
 		fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\t%.0f\n", o.Nodes, 1e6*r.CPU, r.Memory/1e3, r.Messages, r.Bytes)
 	}
 	return nil
 }
 
-// measure measures a fleet of each seed, in parallel. An interrupt ends it after those that are under way.
+// measure measures a fleet for each seed, in parallel. When the context ends, it finishes the fleets in progress only.
 func measure(ctx context.Context, o members.Options, s members.Stalls, seconds float64, seeds int) ([]members.Measure, error) {
 	found := make([]members.Measure, seeds)
 	group, ctx := errgroup.WithContext(ctx)
@@ -109,15 +144,16 @@
 	return found, group.Wait()
 }
 
-func name(o members.Options) string {
+// coreName names the core that the options measure.
+func coreName(o members.Options) string {
 	if o.Plain {
 		return "plain SWIM"
 	}
 	return "as built"
 }
 
-// row writes what a size and core showed.
-func row(w io.Writer, o members.Options, found []members.Measure) {
+// writeRow writes the medians and means of the fleets of one size and core.
+func writeRow(w io.Writer, o members.Options, found []members.Measure) {
 	of := func(get func(members.Measure) float64) (out []float64) {
 		for _, m := range found {
 			out = append(out, get(m))
@@ -133,7 +169,7 @@
 	suspected := of(func(m members.Measure) float64 { return m.Suspected })
 	first := of(func(m members.Measure) float64 { return m.First })
 	last := of(func(m members.Measure) float64 { return m.Last })
-	fmt.Fprintf(w, "%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.0f\t%.0f\t%.0f\n", name(o), o.Nodes, len(found),
+	fmt.Fprintf(w, "%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.0f\t%.0f\t%.0f\n", coreName(o), o.Nodes, len(found),
 		members.Quantile(suspected, 0.5), members.Quantile(suspected, 0.99), members.Quantile(first, 0.5),
 		members.Quantile(last, 0.5), members.Quantile(last, 0.99),
 		mean(func(m members.Measure) float64 { return m.Known }),
