Membership: unexported names and comments in SWIM's and Lifeguard's terms

Cause: doubts, deaf, turn, spread or proved need explaining, and comments spoke in images. Change: unexported names say what they do (adjustHealth, isolated, setState, enqueueNews, recordAlive, requestIndirectProbes, expireSuspicions, confirmations); doc comments are whole sentences. Exported names are as they were.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -3,53 +3,53 @@
 import "gorseledge/internal/membership/wire"
 
 const (
-	suspicionPeriods = 4.0  // periods to answer at the least, times the logarithm of the fleet's size (SWIM, section 4.2)
-	suspicionSpread  = 6.0  // longest over shortest (Lifeguard, section IV.B)
-	accusers         = 3    // beside the first, that shorten a suspicion to its least (Lifeguard)
-	mostDoubt        = 8    // of a node in itself (Lifeguard, section IV.A)
-	verifiers        = 10   // nodes that ask for themselves when they hear a suspicion
-	mostBad          = 4    // bad links that a member tells of
+	suspicionPeriods = 4.0  // shortest suspicion in periods, times the logarithm of the fleet's size (SWIM, section 4.2)
+	suspicionSpread  = 6.0  // longest suspicion over the shortest (Lifeguard, section IV.B)
+	confirmations    = 3    // after the first suspicion, that shorten it to its least (Lifeguard)
+	maxHealthScore   = 8    // bound of the local health score (Lifeguard, section IV.A)
+	verifyingMembers = 10   // expected number of nodes that probe a suspect themselves
+	maxBadLinks      = 4    // bad links that a member announces
 	exchangePeriods  = 8    // between two exchanges of the whole state
-	mostPieces       = 32   // messages of one exchange, and of all in a period
-	spreadFactor     = 4.0  // times that news goes out, times the logarithm of the fleet's size
-	deafPeriods      = 3.0  // without a message from anybody
-	deafSlowing      = 0.97 // part of the time that does not count while deaf: a last survivor needs minutes to judge
-	accusedPeriods   = 4.0  // after this node heard that it is held for suspect or dead itself
-	newsPeriods      = 30.0 // that news goes out at the most; what it did not reach comes with an exchange
-	mostMembers      = 1 << 14
-	factsPeriods     = 5 // between two incarnations for new bad links
+	maxStateMessages = 32   // state messages that a node sends in a period
+	spreadFactor     = 4.0  // times that news is sent, times the logarithm of the fleet's size
+	isolatedPeriods  = 3.0  // without any message, after which a node counts as isolated
+	isolatedSlowing  = 0.97 // share of time not counted while isolated: a last survivor takes minutes to judge
+	accusedPeriods   = 4.0  // after this node learned that others suspect it or hold it for dead
+	newsPeriods      = 30.0 // for which news is sent at most; members that missed it learn it by an exchange of state
+	maxMembers       = 1 << 14
+	badLinkPeriods   = 5 // between two announcements of bad links
 )
 
-// Config is what a member is told at its start. Times are seconds.
+// Config is the configuration of a member. Times are seconds.
 type Config struct {
 	Self    Member   // Name, Start, Address and facts
 	Join    []string // addresses of some members
 	Seed    uint64
 	Period  float64 // between two probes
 	Timeout float64 // for the answer to a probe; a third of the period at the most
-	Helpers int     // members that are asked to probe one that did not answer
-	Most    int     // bytes of a message
-	Plain   bool    // SWIM alone, to measure what Lifeguard's parts bring
+	Helpers int     // members that are asked to probe one that did not answer, 1 at least
+	Most    int     // size limit of a message in bytes
+	Plain   bool    // SWIM without Lifeguard, to measure the difference
 }
 
-// Effect is one thing to do or to know.
+// Effect is a result of Tick or Receive: Send, Changed or Replaced.
 type Effect interface{ effect() }
 
-// What Tick and Receive give.
+// The effects.
 type (
-	// Send is a message to an address.
+	// Send asks the caller to send a message to an address.
 	Send struct {
 		To      string
 		Message *wire.Message
 	}
-	// Changed tells that a member is new or has another state here than it had.
+	// Changed reports that a member is new or has changed its state.
 	Changed struct {
 		Member
 		New bool
 		Was State
-		By  string // of a suspicion: who said so first
+		By  string // for a suspicion, the member that reported it
 	}
-	// Replaced tells that a newer process goes by this one's name at another address: this one is to leave.
+	// Replaced reports that a later process has this node's name at another address. This node has to leave.
 	Replaced struct{ By Member }
 )
 
--- a/internal/membership/hasty.go
+++ b/internal/membership/hasty.go
@@ -2,5 +2,5 @@
 
 package membership
 
-// hasty is the wrong core that the rig's checkers are shown to catch: it gives nobody time to answer.
+// hasty makes the core deliberately wrong, to show that the rig's checkers catch it: suspicions expire almost at once.
 const hasty = true
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -7,43 +7,45 @@
 	"gorseledge/internal/membership/wire"
 )
 
-// Members is what one node knows of its fleet.
+// Members is the membership state of one node: itself, the other members and the protocol's timers. It is not safe for
+// concurrent use.
 type Members struct {
 	Config
-	now       float64
-	rand      *rand.Rand
-	self      *member
-	byName    map[string]*member
-	others    []*member // all but this one, in the order of this round's probes
-	suspected int       // of them are under a suspicion
-	next      int
-	living    int // alive or suspect, this one included
-	out       []Effect
-	news      []news
-	verify    []string // to be probed first
-	doubt     int
-	seq       uint64
-	probe     *probe
-	helping   map[uint64]helping
+	now         float64
+	rand        *rand.Rand
+	self        *member
+	byName      map[string]*member
+	others      []*member // all but this node, in the order of this round of probes
+	suspected   int       // number of others under suspicion
+	nextProbe   int
+	living      int // number of members alive or suspect, including this node
+	effects     []Effect
+	news        []news
+	probeFirst  []string // names of members to probe before the others
+	healthScore int
+	seq         uint64
+	probe       *probe
+	helping     map[uint64]helping
 
-	roundAt, heardAt, judgedAt, exchangeAt, factsAt, accusedAt float64
-	pieces                                                     int // left in this period
-	left                                                       bool
+	roundAt, heardAt, expiredAt, exchangeAt, factsAt, accusedAt float64
+	messagesLeft                                                int // state messages that may still be sent in this period
+	left                                                        bool
 }
 
-// New gives a member that knows nobody yet; the first Tick is due at once.
+// New returns the state of a member that knows no others yet. Its first Tick is due within a quarter of a period.
 func New(now float64, c Config) *Members {
 	c.Helpers, c.Plain = max(c.Helpers, 1), c.Plain || hasty
 	m := &Members{Config: c, now: now, rand: rand.New(rand.NewPCG(c.Seed, c.Self.Start)), byName: map[string]*member{},
-		helping: map[uint64]helping{}, living: 1, heardAt: now, judgedAt: now, accusedAt: math.Inf(-1), pieces: mostPieces}
+		helping: map[uint64]helping{}, living: 1, heardAt: now, expiredAt: now, accusedAt: math.Inf(-1),
+		messagesLeft: maxStateMessages}
 	m.self = &member{Member: c.Self}
 	m.self.State, m.self.Since = Alive, now
-	m.roundAt = now + m.rand.Float64()*c.Period/4 // guards against a fleet that starts together probing together
+	m.roundAt = now + m.rand.Float64()*c.Period/4 // spreads the probes of a fleet that starts at once
 	m.exchangeAt = now
 	return m
 }
 
-// Next is when Tick is due.
+// Next returns the time at which Tick is due.
 func (m *Members) Next() float64 {
 	at := m.roundAt
 	if p := m.probe; p != nil && !p.asked && !p.answered {
@@ -57,10 +59,11 @@
 	return at
 }
 
-// begin takes the time. Guards against a node that was stopped and on waking declares all others dead: it
-// knows from its own late tick that it was away, and takes that time out of what it judges by.
-func (m *Members) begin(now float64) {
-	m.out = m.out[:0]
+// advanceClock sets the time and discards the effects of the last call. A tick that comes much too late means that this
+// process was stopped: the time that it missed is not counted against the members under suspicion. This guards against
+// a node that declares all others dead when it continues.
+func (m *Members) advanceClock(now float64) {
+	m.effects = m.effects[:0]
 	away := now - m.Next()
 	m.now = max(now, m.now)
 	if away < max(m.Period/4, m.Timeout) || m.Plain {
@@ -71,68 +74,69 @@
 	for _, x := range m.others {
 		if s := x.suspicion; s != nil {
 			s.since += away
-			s.spared += away
+			s.earliestEnd += away
 		}
 	}
-	m.heardAt, m.judgedAt = m.now, m.now
+	m.heardAt, m.expiredAt = m.now, m.now
 	m.roundAt = m.now + m.Period/4
-	m.exchangeAt = m.now // what was said meanwhile, of this one too
-	m.doubts(1)
+	m.exchangeAt = m.now // to learn what changed meanwhile, also about this node
+	m.adjustHealth(1)
 }
 
-// Tick does what is due.
+// Tick does what is due at the time now and returns the effects, which are valid until the next call.
 func (m *Members) Tick(now float64) []Effect {
-	m.begin(now)
+	m.advanceClock(now)
 	if m.left {
 		m.roundAt = math.Inf(1)
-		return m.out
+		return m.effects
 	}
-	m.help()
-	m.askOthers()
+	m.sendNacks()
+	m.requestIndirectProbes()
 	if m.now >= m.roundAt {
-		m.round()
+		m.startRound()
 	}
-	return m.out
+	return m.effects
 }
 
-// Leave tells some members that this one goes; nothing more comes of it.
+// Leave returns messages that tell some members that this node leaves. After it, the node sends nothing more.
 func (m *Members) Leave(now float64) []Effect {
-	m.begin(now)
+	m.advanceClock(now)
 	if m.left {
-		return m.out
+		return m.effects
 	}
 	m.left = true
 	m.self.State = Left
 	m.self.Incarnation++
-	for _, x := range m.some(2*m.Helpers+2, nil) {
+	for _, x := range m.randomAlive(2*m.Helpers+2, nil) {
 		m.send(x.Address, &wire.Message{Kind: wire.Message_PING, About: x.Name,
 			Updates: []*wire.Update{m.self.update()}})
 	}
 	m.probe, m.roundAt = nil, math.Inf(1)
 	clear(m.helping)
-	return m.out
+	return m.effects
 }
 
-// Facts tells the others anew what this member says of itself.
+// Facts announces to the others whether this node takes clients, where that has changed.
 func (m *Members) Facts(now float64, ready bool) {
 	if m.now = max(now, m.now); m.self.Ready != ready {
 		m.self.Ready = ready
-		m.tellSelf()
+		m.announceSelf()
 	}
 }
 
-// tellSelf sends what this member says of itself under a new incarnation.
-func (m *Members) tellSelf() {
-	if m.self.Incarnation == math.MaxUint32 { // somebody said so; a later start goes before any incarnation
+// announceSelf raises the incarnation of this node and announces its facts.
+func (m *Members) announceSelf() {
+	if m.self.Incarnation == math.MaxUint32 { // another member claimed it; a later start precedes any incarnation
 		m.self.Start, m.self.Incarnation = m.self.Start+1, 0
 	} else {
 		m.self.Incarnation++
 	}
-	m.spread(m.self)
+	m.enqueueNews(m.self)
 }
 
-func (m *Members) doubts(by int) {
+// adjustHealth changes the local health score (Lifeguard, section IV.A): 0 is healthy.
+func (m *Members) adjustHealth(by int) {
 	if !m.Plain {
-		m.doubt = min(max(m.doubt+by, 0), mostDoubt)
+		m.healthScore = min(max(m.healthScore+by, 0), maxHealthScore)
 	}
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -7,81 +7,83 @@
 	"gorseledge/internal/membership/wire"
 )
 
-// news is an update that still goes out, and how often it did.
+// news is an update that still has to be sent with other messages, and how often it was sent.
 type news struct {
 	name string
 	sent int
 	at   float64
 }
 
-// merge takes what another knows of a member.
-func (m *Members) merge(u *wire.Update, from string) {
+// mergeUpdate merges what the member from says about a member. Updates with names or facts that are too long are
+// ignored.
+func (m *Members) mergeUpdate(u *wire.Update, from string) {
 	if u.Name == "" || len(u.Name) > 64 || len(u.Address) > 64 || len(u.Zone) > 64 || len(u.Build) > 64 {
 		return
 	}
 	if u.Name == m.self.Name {
-		m.aboutSelf(u)
+		m.mergeAboutSelf(u)
 		return
 	}
 	said := State(min(u.State, uint32(Left)))
 	x := m.byName[u.Name]
 	if x == nil {
-		if len(m.byName) >= mostMembers {
+		if len(m.byName) >= maxMembers {
 			return
 		}
-		x = m.add(u)
-		m.spread(x)
+		x = m.addMember(u)
+		m.enqueueNews(x)
 		if said == Suspect {
 			m.suspect(x, cmp.Or(u.By, from), false)
 		}
 		return
 	}
-	order := newer(u.Start, u.Incarnation, &x.Member)
+	order := compareOrder(u.Start, u.Incarnation, &x.Member)
 	if order < 0 {
 		return
 	}
 	if order > 0 {
-		x.facts(u)
-		m.turn(x, Alive)
-		m.spread(x)
+		x.setFacts(u)
+		m.setState(x, Alive)
+		m.enqueueNews(x)
 	}
 	switch {
 	case said == Alive:
 	case said == Left && from == x.Name:
 		if !x.State.gone() {
-			m.turn(x, Left)
-			m.spread(x)
+			m.setState(x, Left)
+			m.enqueueNews(x)
 		}
-	default: // also a death: who tells of one is one more accuser, and no more. Guards against a liar
+	default: // a reported death only confirms a suspicion, which guards against a member that lies
 		m.suspect(x, cmp.Or(u.By, from), said == Left)
 	}
 }
 
-// aboutSelf takes what others say of this one.
-func (m *Members) aboutSelf(u *wire.Update) {
+// mergeAboutSelf merges what others say about this node. It refutes a suspicion with a new incarnation, and leaves where
+// a later process has taken its name over at another address.
+func (m *Members) mergeAboutSelf(u *wire.Update) {
 	said := State(min(u.State, uint32(Left)))
-	if u.Start == m.self.Start && (said == Suspect || said == Dead) { // also of old: they may not hear the answer
+	if u.Start == m.self.Start && (said == Suspect || said == Dead) { // also of an old incarnation: the refutation may not reach them
 		m.accusedAt = m.now
 	}
-	switch order := newer(u.Start, u.Incarnation, &m.self.Member); {
+	switch order := compareOrder(u.Start, u.Incarnation, &m.self.Member); {
 	case m.left || order < 0:
 	case u.Start > m.self.Start && u.Address != m.self.Address && said == Alive:
 		m.left = true
-		m.out = append(m.out, Replaced{Member{Name: u.Name, Start: u.Start, Address: u.Address, Zone: u.Zone}})
-	case u.Start > m.self.Start: // an earlier process of this machine, whose clock was ahead
+		m.effects = append(m.effects, Replaced{Member{Name: u.Name, Start: u.Start, Address: u.Address, Zone: u.Zone}})
+	case u.Start > m.self.Start: // of an earlier process of this node, whose clock was ahead
 		m.self.Start, m.self.Incarnation = u.Start, u.Incarnation
-		m.tellSelf()
+		m.announceSelf()
 	case order > 0 || said != Alive:
 		m.self.Incarnation = u.Incarnation
-		m.tellSelf()
+		m.announceSelf()
 		if said == Suspect || said == Dead {
-			m.doubts(1) // it was slow to answer
+			m.adjustHealth(1) // its answer to the probe was late
 		}
 	}
 }
 
-// spread has the state of a member go out with the next messages.
-func (m *Members) spread(x *member) {
+// enqueueNews has the state of a member sent with the next messages.
+func (m *Members) enqueueNews(x *member) {
 	m.news = slices.DeleteFunc(m.news, func(n news) bool { return n.name == x.Name })
 	m.news = append(m.news, news{name: x.Name, at: m.now})
 }
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -10,9 +10,9 @@
 	"gorseledge/internal/membership/wire"
 )
 
-const mostHelping = 64 // probes for others at once
+const maxHelping = 64 // concurrent probes for other members
 
-// send sends a message, with as much news as fits.
+// send sends a message with as much news as fits, the least sent first.
 func (m *Members) send(to string, msg *wire.Message) {
 	if to == "" || to == m.self.Address {
 		return
@@ -41,42 +41,43 @@
 		}
 	}
 	m.news = kept
-	m.out = append(m.out, Send{to, msg})
+	m.effects = append(m.effects, Send{to, msg})
 }
 
-// Receive takes a message that is known to be the fleet's and new.
+// Receive handles a message and returns the effects, which are valid until the next call. The caller has verified that
+// the message is authentic and not a replay.
 func (m *Members) Receive(now float64, msg *wire.Message) []Effect {
-	m.begin(now)
+	m.advanceClock(now)
 	if m.left || msg.From == "" || msg.From == m.self.Name && msg.Start == m.self.Start {
-		return m.out
+		return m.effects
 	}
-	if msg.From == m.self.Name { // another process under this one's name
+	if msg.From == m.self.Name { // another process of this node's name
 		for _, u := range msg.Updates {
 			if u.Name == m.self.Name {
-				m.aboutSelf(u)
+				m.mergeAboutSelf(u)
 			}
 		}
-		if !m.left && msg.Start < m.self.Start && msg.At != "" && msg.At != m.self.Address && m.pieces > 0 {
-			m.pieces-- // it learns that it is replaced
-			m.tell(msg.At, m.self)
+		if !m.left && msg.Start < m.self.Start && msg.At != "" && msg.At != m.self.Address && m.messagesLeft > 0 {
+			m.messagesLeft-- // tells the older process that it is replaced
+			m.sendMember(msg.At, m.self)
 		}
-		return m.out
+		return m.effects
 	}
 	m.heardAt = m.now
 	for _, u := range msg.Updates[:min(len(msg.Updates), 64)] {
-		m.merge(u, msg.From)
+		m.mergeUpdate(u, msg.From)
 	}
 	x := m.byName[msg.From]
 	if x != nil && msg.Start == x.Start {
-		m.proved(x)
+		m.recordAlive(x)
 	}
 	if m.left {
-		return m.out
+		return m.effects
 	}
-	m.correct(x, msg)
+	m.correctSender(x, msg)
 	switch msg.Kind {
 	case wire.Message_PING:
-		m.pinged(x, msg)
+		m.answerPing(x, msg)
 	case wire.Message_ACK:
 		if h, ok := m.helping[msg.Seq]; ok && h.about == msg.From {
 			if asker := m.byName[h.name]; asker != nil {
@@ -84,28 +85,29 @@
 			}
 			delete(m.helping, msg.Seq)
 		} else if m.probe != nil && m.probe.name == msg.From {
-			m.answered(msg.Seq, true)
+			m.probeAnswered(msg.Seq, true)
 		} else if m.probe != nil && m.probe.name == msg.About {
-			m.answered(msg.Seq, false)
+			m.probeAnswered(msg.Seq, false)
 		}
 	case wire.Message_NACK:
 		if p := m.probe; p != nil && p.seq == msg.Seq && p.name == msg.About {
 			p.nacks++
 		}
 	case wire.Message_PING_REQ:
-		m.asked(x, msg)
+		m.probeForOther(x, msg)
 	case wire.Message_STATE:
-		m.heardState(x, msg)
+		m.receiveState(x, msg)
 	case wire.Message_JOIN:
 		if x != nil {
-			m.state(x.Address, true)
+			m.sendState(x.Address, true)
 		}
 	}
-	return m.out
+	return m.effects
 }
 
-// correct tells a member what is known of it, where that is not what it thinks: it answers for itself.
-func (m *Members) correct(x *member, msg *wire.Message) {
+// correctSender tells the sender of a message how this node sees it where that is not alive, or that a later process has
+// its name. The sender can refute it.
+func (m *Members) correctSender(x *member, msg *wire.Message) {
 	if x == nil || m.now < x.correctAt {
 		return
 	}
@@ -116,11 +118,11 @@
 		return
 	}
 	x.correctAt = m.now + m.Period/2
-	m.tell(to, x)
+	m.sendMember(to, x)
 }
 
-// pinged answers a ping; one for another name reached the wrong address.
-func (m *Members) pinged(x *member, msg *wire.Message) {
+// answerPing answers a ping. One for another name was sent to a wrong address and is ignored.
+func (m *Members) answerPing(x *member, msg *wire.Message) {
 	if msg.About != m.self.Name {
 		return
 	}
@@ -131,9 +133,9 @@
 	m.send(to, &wire.Message{Kind: wire.Message_ACK, Seq: msg.Seq})
 }
 
-// asked probes a member for another.
-func (m *Members) asked(x *member, msg *wire.Message) {
-	if x == nil || len(m.helping) >= mostHelping {
+// probeForOther probes a member at the request of another member.
+func (m *Members) probeForOther(x *member, msg *wire.Message) {
+	if x == nil || len(m.helping) >= maxHelping {
 		return
 	}
 	about := m.byName[msg.About]
@@ -142,13 +144,13 @@
 	}
 	m.seq++
 	m.helping[m.seq] = helping{name: msg.From, about: msg.About, seq: msg.Seq, nackAt: m.now + m.Timeout,
-		end: m.now + m.Period*float64(1+mostDoubt)}
+		end: m.now + m.Period*float64(1+maxHealthScore)}
 	m.ping(about, m.seq)
 }
 
-// exchange compares notes with one member in turn, the dead and the addresses to join by included. Guards
-// against two halves of a fleet that each hold the other for dead for good.
-func (m *Members) exchange() {
+// exchangeState compares the whole state with a random member, and greets an address of the config and a gone member.
+// This guards against two halves of a fleet that hold each other for dead for good.
+func (m *Members) exchangeState() {
 	if m.now < m.exchangeAt {
 		return
 	}
@@ -168,45 +170,46 @@
 	}
 	slices.SortFunc(gone, func(a, b *member) int { return cmp.Compare(a.Address, b.Address) })
 	if len(join) > 0 {
-		m.join(join[m.rand.IntN(len(join))])
-		if alone { // one may be as new as this
-			m.join(join[m.rand.IntN(len(join))])
+		m.sendJoin(join[m.rand.IntN(len(join))])
+		if alone { // the first address may be of a node as new as this one
+			m.sendJoin(join[m.rand.IntN(len(join))])
 		}
 	}
-	// It hears what it is held for, as it may hear and not be heard. Guards against such a one judging the
-	// others: in a fleet of 300 nobody told it once it was held for dead, and it held two for dead within two
-	// minutes.
+	// The gone member is told its state, as it may receive messages while its own are lost. This guards against
+	// such a member declaring others dead: in a fleet of 300, one that was not told did so twice within two minutes.
 	if len(gone) > 0 {
 		x := gone[m.rand.IntN(len(gone))]
-		m.join(x.Address, x.update())
+		m.sendJoin(x.Address, x.update())
 	}
-	for _, x := range m.some(1, nil) {
+	for _, x := range m.randomAlive(1, nil) {
 		m.send(x.Address, &wire.Message{Kind: wire.Message_STATE, Hash: m.hash(), Again: true})
 	}
 }
 
-func (m *Members) join(at string, more ...*wire.Update) {
+// sendJoin asks the member at an address for its state, and sends it this node's and the given updates.
+func (m *Members) sendJoin(at string, more ...*wire.Update) {
 	m.send(at, &wire.Message{Kind: wire.Message_JOIN, At: m.self.Address, Updates: append(more, m.self.update())})
 }
 
-// tell tells what is known of one member.
-func (m *Members) tell(to string, x *member) {
+// sendMember sends what is known of one member.
+func (m *Members) sendMember(to string, x *member) {
 	m.send(to, &wire.Message{Kind: wire.Message_STATE, Updates: []*wire.Update{x.update()}})
 }
 
-// heardState answers a part of another's state with this one's, where the two differ.
-func (m *Members) heardState(x *member, msg *wire.Message) {
+// receiveState answers the state of another member with that of this node, where the two differ.
+func (m *Members) receiveState(x *member, msg *wire.Message) {
 	if x != nil && msg.Again && msg.Hash != m.hash() {
-		m.state(x.Address, len(msg.Updates) == 0)
+		m.sendState(x.Address, len(msg.Updates) == 0)
 	}
 }
 
-// state sends all that is known, or as much of it as a period may bear, in a drawn order.
-func (m *Members) state(to string, again bool) {
+// sendState sends the whole state, or as much of it as this period allows, in a random order with this node first. Where
+// again is true, the first message asks for an answer.
+func (m *Members) sendState(to string, again bool) {
 	all, hash := append([]*member{m.self}, m.others...), m.hash()
 	m.rand.Shuffle(len(all)-1, func(i, j int) { all[i+1], all[j+1] = all[j+1], all[i+1] })
-	for len(all) > 0 && m.pieces > 0 {
-		m.pieces--
+	for len(all) > 0 && m.messagesLeft > 0 {
+		m.messagesLeft--
 		msg := &wire.Message{Kind: wire.Message_STATE, From: m.self.Name, Start: m.self.Start, Hash: hash, Again: again}
 		size := proto.Size(msg)
 		for len(all) > 0 {
@@ -217,7 +220,7 @@
 			msg.Updates = append(msg.Updates, u)
 			all = all[1:]
 		}
-		again = false // one asks, the other parts do not
-		m.out = append(m.out, Send{to, msg})
+		again = false // only the first message asks
+		m.effects = append(m.effects, Send{to, msg})
 	}
 }
--- a/internal/membership/patient.go
+++ b/internal/membership/patient.go
@@ -2,4 +2,5 @@
 
 package membership
 
+// hasty is false in every build that serves; see hasty.go.
 const hasty = false
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -7,71 +7,72 @@
 	"gorseledge/internal/membership/wire"
 )
 
-// probe is the one that is under way.
+// probe is the probe in progress.
 type probe struct {
 	name            string
 	seq             uint64
-	askAt           float64 // when others are asked to help
+	askAt           float64 // when other members are asked to probe
 	asked, answered bool
 	direct          bool
 	helpers, nacks  int
 }
 
-// helping is a probe for another member.
+// helping is a probe at the request of another member.
 type helping struct {
-	name, about string // who asked, and whom for
-	seq         uint64 // of its probe
+	name, about string // the requester, and the member to probe
+	seq         uint64 // of the requester's probe
 	nackAt, end float64
 	nacked      bool
 }
 
-// slow is by how much this node's times are longer, as it doubts itself.
-func (m *Members) slow() float64 { return float64(1 + m.doubt) }
+// timeFactor returns the factor of this node's timeouts, which grow with its local health score.
+func (m *Members) timeFactor() float64 { return float64(1 + m.healthScore) }
 
-// round ends the probe under way and begins the next.
-func (m *Members) round() {
-	m.roundAt = m.now + m.Period*m.slow()
-	m.pieces = mostPieces
+// startRound ends the probe in progress, expires suspicions and starts the next probe.
+func (m *Members) startRound() {
+	m.roundAt = m.now + m.Period*m.timeFactor()
+	m.messagesLeft = maxStateMessages
 	if p := m.probe; p != nil && !p.answered {
-		m.failed(p)
+		m.probeFailed(p)
 	}
 	m.probe = nil
-	m.judge()
-	m.exchange()
-	x := m.target()
+	m.expireSuspicions()
+	m.exchangeState()
+	x := m.nextTarget()
 	if x == nil {
 		return
 	}
 	m.seq++
-	m.probe = &probe{name: x.Name, seq: m.seq, askAt: m.now + m.Timeout*m.slow()}
+	m.probe = &probe{name: x.Name, seq: m.seq, askAt: m.now + m.Timeout*m.timeFactor()}
 	m.ping(x, m.seq)
 }
 
+// ping sends a ping to a member.
 func (m *Members) ping(x *member, seq uint64) {
 	msg := &wire.Message{Kind: wire.Message_PING, Seq: seq, About: x.Name, At: m.self.Address}
-	if x.State != Alive { // it has to know, to answer for itself (Lifeguard's buddy system)
+	if x.State != Alive { // the member has to know it, to refute it (Lifeguard's buddy system)
 		msg.Updates = append(msg.Updates, x.update())
 	}
 	m.send(x.Address, msg)
 }
 
-// target is whom to probe next: who is under a suspicion that this node wants to see for itself, else in
-// turn.
-func (m *Members) target() *member {
-	for len(m.verify) > 0 {
-		x := m.byName[m.verify[0]]
-		m.verify = m.verify[1:]
+// nextTarget returns the member to probe next: a suspect that this node verifies itself, or the next of the round; nil
+// where there is none.
+func (m *Members) nextTarget() *member {
+	for len(m.probeFirst) > 0 {
+		x := m.byName[m.probeFirst[0]]
+		m.probeFirst = m.probeFirst[1:]
 		if x != nil && x.State == Suspect {
 			return x
 		}
 	}
 	for range m.others {
-		if m.next >= len(m.others) {
-			m.next = 0
+		if m.nextProbe >= len(m.others) {
+			m.nextProbe = 0
 			m.rand.Shuffle(len(m.others), func(i, j int) { m.others[i], m.others[j] = m.others[j], m.others[i] })
 		}
-		x := m.others[m.next]
-		m.next++
+		x := m.others[m.nextProbe]
+		m.nextProbe++
 		if !x.State.gone() {
 			return x
 		}
@@ -79,8 +80,8 @@
 	return nil
 }
 
-// some draws members that live, without one.
-func (m *Members) some(n int, without *member) (out []*member) {
+// randomAlive returns up to n random members that are alive, except one.
+func (m *Members) randomAlive(n int, without *member) (out []*member) {
 	for _, i := range m.rand.Perm(len(m.others)) {
 		if x := m.others[i]; x != without && x.State == Alive {
 			if out = append(out, x); len(out) == n {
@@ -91,9 +92,10 @@
 	return out
 }
 
-// helpers draws members that are to probe another: of several zones, and none that is known not to reach it.
-func (m *Members) helpers(x *member) (out []*member) {
-	drawn := m.some(len(m.others), x)
+// chooseHelpers returns random members to probe another member: of different zones as far as possible, and none with a
+// known bad link to it.
+func (m *Members) chooseHelpers(x *member) (out []*member) {
+	drawn := m.randomAlive(len(m.others), x)
 	zones := map[string]bool{}
 	for _, fresh := range [2]bool{true, false} {
 		for _, h := range drawn {
@@ -111,35 +113,35 @@
 	return out
 }
 
-// askOthers asks some members to probe whom this node could not reach in time.
-func (m *Members) askOthers() {
+// requestIndirectProbes asks some members to probe the target of a probe that was not answered in time.
+func (m *Members) requestIndirectProbes() {
 	p := m.probe
 	if p == nil || p.asked || p.answered || m.now < p.askAt {
 		return
 	}
 	p.asked = true
 	x := m.byName[p.name]
-	for _, h := range m.helpers(x) {
+	for _, h := range m.chooseHelpers(x) {
 		p.helpers++
 		m.send(h.Address, &wire.Message{Kind: wire.Message_PING_REQ, Seq: p.seq, About: p.name, At: x.Address})
 	}
 }
 
-// failed takes a probe that nobody answered.
-func (m *Members) failed(p *probe) {
+// probeFailed handles a probe that got no answer, direct or indirect.
+func (m *Members) probeFailed(p *probe) {
 	x := m.byName[p.name]
 	if p.helpers > p.nacks || p.helpers == 0 && m.living > 2 {
-		m.doubts(1) // those who were to help did not answer either: the fault may be here
+		m.adjustHealth(1) // no helper answered either: the fault may be this node's
 	}
-	if x == nil || m.deaf() {
-		m.doubts(1)
+	if x == nil || m.isolated() {
+		m.adjustHealth(1)
 		return
 	}
 	m.suspect(x, m.self.Name, false)
 }
 
-// answered takes an answer to the probe under way, direct or by way of another.
-func (m *Members) answered(seq uint64, direct bool) {
+// probeAnswered handles an answer to the probe in progress, from its target or through a helper.
+func (m *Members) probeAnswered(seq uint64, direct bool) {
 	p := m.probe
 	if p == nil || p.seq != seq {
 		return
@@ -150,14 +152,14 @@
 	}
 	if x.badLink = !p.direct; !p.answered {
 		p.answered = true
-		m.doubts(-1)
+		m.adjustHealth(-1)
 	}
-	m.proved(x)
-	m.tellBad()
+	m.recordAlive(x)
+	m.announceBadLinks()
 }
 
-// tellBad tells the others which links of this node's are bad, not too often.
-func (m *Members) tellBad() {
+// announceBadLinks announces which members this node reaches only through others, at most once in badLinkPeriods.
+func (m *Members) announceBadLinks() {
 	var bad []uint32
 	for _, x := range m.others {
 		if x.badLink && !x.State.gone() {
@@ -165,17 +167,17 @@
 		}
 	}
 	slices.Sort(bad)
-	bad = bad[:min(len(bad), mostBad)]
+	bad = bad[:min(len(bad), maxBadLinks)]
 	if m.now >= m.factsAt && !slices.Equal(bad, m.self.Bad) {
-		m.factsAt = m.now + factsPeriods*m.Period
+		m.factsAt = m.now + badLinkPeriods*m.Period
 		m.self.Bad = bad
-		m.tellSelf()
+		m.announceSelf()
 	}
 }
 
-// help says no for those who did not answer a probe made for another, in the order in which it was asked: the same
-// seed is to give the same messages.
-func (m *Members) help() {
+// sendNacks answers requests for probes that got no answer in time, in the order of the requests: the same seed gives the
+// same messages.
+func (m *Members) sendNacks() {
 	for _, seq := range slices.Sorted(maps.Keys(m.helping)) {
 		h := m.helping[seq]
 		if !h.nacked && m.now >= h.nackAt {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -6,8 +6,8 @@
 	"gorseledge/internal/membership/wire"
 )
 
-// turn puts a member into a state.
-func (m *Members) turn(x *member, to State) {
+// setState sets the state of a member, ends its suspicion unless it is suspect and reports the change.
+func (m *Members) setState(x *member, to State) {
 	was := x.State
 	if to != Suspect && x.suspicion != nil {
 		x.suspicion = nil
@@ -28,24 +28,24 @@
 	if to == Suspect && x.suspicion != nil {
 		by = x.suspicion.last
 	}
-	m.out = append(m.out, Changed{Member: x.Member, Was: was, By: by})
+	m.effects = append(m.effects, Changed{Member: x.Member, Was: was, By: by})
 }
 
-// add takes a member that was not known.
-func (m *Members) add(u *wire.Update) *member {
+// addMember adds a member that was not known, as alive or gone; a suspicion is up to the caller.
+func (m *Members) addMember(u *wire.Update) *member {
 	x := &member{Member: Member{Name: u.Name, State: Alive, Since: m.now}}
-	x.facts(u)
+	x.setFacts(u)
 	if s := State(min(u.State, uint32(Left))); s.gone() {
 		x.State = s
 	} else {
 		m.living++
 	}
 	m.byName[u.Name] = x
-	at := m.rand.IntN(len(m.others) + 1) // a random place in the round, so that nobody is passed over for long
+	at := m.rand.IntN(len(m.others) + 1) // a random place in the round, so that no member waits for long
 	m.others = slices.Insert(m.others, at, x)
-	if at < m.next {
-		m.next++
+	if at < m.nextProbe {
+		m.nextProbe++
 	}
-	m.out = append(m.out, Changed{Member: x.Member, New: true})
+	m.effects = append(m.effects, Changed{Member: x.Member, New: true})
 	return x
 }
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -2,19 +2,20 @@
 
 import "math"
 
-// suspicion is a member's time to answer for itself: long while one node alone suspects it, shorter as more
-// do.
+// suspicion is the time that a member has to refute that it failed. It is long while a single node suspects the member
+// and becomes shorter with each confirmation (Lifeguard, section IV.B).
 type suspicion struct {
 	since, least, most float64 // seconds
-	expect             int     // accusers beside the first that shorten it to the least
-	by                 map[string]bool
-	last               string // accuser heard last: it goes out with the suspicion
-	leaves             bool   // it is said to have left, by another than itself
-	spared             float64
-	checked            bool // this node has asked once more, near the end
+	expected           int     // confirmations beside the first that shorten it to the least
+	confirmedBy        map[string]bool
+	last               string // the latest member that confirmed it; sent with the suspicion
+	reportedLeft       bool   // another member says that it has left
+	earliestEnd        float64
+	probedAgain        bool // this node has probed the member once more, near the end
 }
 
-// suspicionTime gives the shortest and the longest time to answer, in a fleet of n.
+// suspicionTime returns the shortest and the longest duration of a suspicion in seconds, for the present size of the
+// fleet.
 func (m *Members) suspicionTime() (least, most float64) {
 	least = suspicionPeriods * max(1, math.Log10(float64(m.living))) * m.Period
 	if hasty {
@@ -26,17 +27,18 @@
 	return least, suspicionSpread * least
 }
 
-// end is when the time to answer is over.
+// end returns when the suspicion expires.
 func (s *suspicion) end() float64 {
 	span := s.most
-	if s.expect > 0 {
-		part := math.Log(float64(len(s.by))) / math.Log(float64(s.expect+1))
+	if s.expected > 0 {
+		part := math.Log(float64(len(s.confirmedBy))) / math.Log(float64(s.expected+1))
 		span = max(s.least, s.most-(s.most-s.least)*part)
 	}
-	return max(s.since+span, s.spared)
+	return max(s.since+span, s.earliestEnd)
 }
 
-// suspect begins a suspicion of a member, or adds an accuser to the one that there is.
+// suspect begins a suspicion of a member, or adds a confirmation to one that exists. leaves says that the member is
+// reported to have left.
 func (m *Members) suspect(x *member, by string, leaves bool) {
 	if x.State.gone() {
 		return
@@ -44,71 +46,71 @@
 	if x.suspicion == nil {
 		least, most := m.suspicionTime()
 		m.suspected++
-		x.suspicion = &suspicion{since: m.now, least: least, most: most, expect: min(accusers, max(m.living-2, 0)),
-			by: map[string]bool{}}
-		m.turn(x, Suspect)
-		// Guards against a liar's word, and against the word of one that hears nobody: who can asks for itself.
-		// In a large fleet some ten do.
-		if by != m.self.Name && m.rand.Float64()*float64(m.living) < verifiers {
-			m.verify = append(m.verify, x.Name)
+		x.suspicion = &suspicion{since: m.now, least: least, most: most, expected: min(confirmations, max(m.living-2, 0)),
+			confirmedBy: map[string]bool{}}
+		m.setState(x, Suspect)
+		// This guards against the word of a member that lies or is isolated: others probe the suspect themselves,
+		// in a large fleet about verifyingMembers of them.
+		if by != m.self.Name && m.rand.Float64()*float64(m.living) < verifyingMembers {
+			m.probeFirst = append(m.probeFirst, x.Name)
 		}
 	}
 	s := x.suspicion
 	s.last = by
-	if leaves && !s.leaves {
-		s.leaves, s.since, s.least, s.most = true, m.now, m.Period, 2*m.Period
+	if leaves && !s.reportedLeft {
+		s.reportedLeft, s.since, s.least, s.most = true, m.now, m.Period, 2*m.Period
 	}
-	if by != "" && !s.by[by] && len(s.by) <= accusers {
-		s.by[by] = true
-		m.spread(x)
+	if by != "" && !s.confirmedBy[by] && len(s.confirmedBy) <= confirmations {
+		s.confirmedBy[by] = true
+		m.enqueueNews(x)
 	}
 }
 
-// proved takes evidence that a member lives now: a message of its own, or an answer by way of another. Its
-// time to answer is not over before it can have heard that it has to.
-func (m *Members) proved(x *member) {
+// recordAlive records evidence that a member is alive now: a message of its own, or an answer through another. The
+// suspicion lasts at least until the member can have received it.
+func (m *Members) recordAlive(x *member) {
 	if s := x.suspicion; s != nil && !m.Plain {
-		s.spared, s.checked = max(s.spared, m.now+s.least), false
+		s.earliestEnd, s.probedAgain = max(s.earliestEnd, m.now+s.least), false
 	}
 }
 
-// judge ends the suspicions whose time is over.
-func (m *Members) judge() {
+// expireSuspicions declares members dead, or left, whose suspicion has expired.
+func (m *Members) expireSuspicions() {
 	if m.suspected == 0 {
-		m.judgedAt = m.now
+		m.expiredAt = m.now
 		return
 	}
-	if m.deaf() { // guards against one that hears nobody judging those who hear each other
+	if m.isolated() { // an isolated node must not judge those that receive each other
 		for _, x := range m.others {
 			if s := x.suspicion; s != nil {
-				s.since += (m.now - m.judgedAt) * deafSlowing
-				s.spared += (m.now - m.judgedAt) * deafSlowing
+				s.since += (m.now - m.expiredAt) * isolatedSlowing
+				s.earliestEnd += (m.now - m.expiredAt) * isolatedSlowing
 			}
 		}
 	}
-	m.judgedAt = m.now
+	m.expiredAt = m.now
 	for _, x := range m.others {
 		if s := x.suspicion; s != nil && m.now >= s.end() {
-			// Guards against a death that a path by another would have prevented, and that a
-			// refutation lost in a crowd of news would have: the probe is the one of the next round.
-			if !s.checked && !s.leaves && !m.Plain {
-				s.checked, s.spared = true, m.now+2*m.Period*m.slow()
-				m.verify = append(m.verify, x.Name)
+			// One more probe, in the next round, guards against a death where the member can be reached through
+			// another, or where its refutation was lost among much news.
+			if !s.probedAgain && !s.reportedLeft && !m.Plain {
+				s.probedAgain, s.earliestEnd = true, m.now+2*m.Period*m.timeFactor()
+				m.probeFirst = append(m.probeFirst, x.Name)
 				continue
 			}
 			to := Dead
-			if s.leaves {
+			if s.reportedLeft {
 				to = Left
 			}
-			m.turn(x, to)
-			m.spread(x)
+			m.setState(x, to)
+			m.enqueueNews(x)
 		}
 	}
 }
 
-// deaf tells whether this node has heard nobody for so long, or that it is held for dead itself, that the
-// fault may be its own: it cannot hear, or it cannot send.
-func (m *Members) deaf() bool {
+// isolated reports whether this node has received no message for so long, or was suspected so recently, that the fault
+// may be its own: it cannot receive, or cannot send.
+func (m *Members) isolated() bool {
 	return !m.Plain && m.living > 1 &&
-		(m.now-m.heardAt > deafPeriods*m.Period || m.now-m.accusedAt < accusedPeriods*m.Period)
+		(m.now-m.heardAt > isolatedPeriods*m.Period || m.now-m.accusedAt < accusedPeriods*m.Period)
 }
--- a/internal/membership/views.go
+++ b/internal/membership/views.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// known gives a member by its name, this one included.
+// known returns a member by its name, including this node; nil where it is not known.
 func (m *Members) known(name string) *member {
 	if name == m.self.Name {
 		return m.self
@@ -16,16 +16,16 @@
 	return m.byName[name]
 }
 
-// Self is this member as it tells of itself.
+// Self returns this node as it announces itself.
 func (m *Members) Self() Member { return m.self.Member }
 
-// Doubt is this node's doubt of itself, 0 to 8: its times are that many times longer, plus one.
-func (m *Members) Doubt() int { return m.doubt }
+// Doubt returns the local health score of this node (Lifeguard), 0 to 8. Its timeouts are longer by a factor of one more.
+func (m *Members) Doubt() int { return m.healthScore }
 
-// Living is how many members live or are only suspected, this one included.
+// Living returns the number of members that are alive or suspect, including this node.
 func (m *Members) Living() int { return m.living }
 
-// All gives every member that is known, this one included, by name.
+// All returns all known members by name, including this node and those that are gone.
 func (m *Members) All() []Member {
 	all := []Member{m.self.Member}
 	for _, x := range m.others {
@@ -35,7 +35,7 @@
 	return all
 }
 
-// hash is the same at two nodes that know the same of the same members.
+// hash returns a hash of the state, which is the same at two nodes that know the same about the same members.
 func (m *Members) hash() (sum uint64) {
 	var buf []byte
 	add := func(x *member) {
