Fleet: comments of message authentication and of the share in plain terms

Cause: the comments of seal.go and share.go spoke of messages that are closed, played again or have it told. Change: they name authentication, replay window, rejection and the smoothed number of nodes. Comments only.

--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -20,8 +20,8 @@
 	mostNames = 1 << 15
 )
 
-// seal closes messages and opens them: a keyed MAC, the fleet's id and a count that grows guard against strangers,
-// other fleets and messages that are played again.
+// seal authenticates messages and verifies them. A keyed MAC guards against strangers, the fleet's id against messages of
+// other fleets, and a growing count against replays.
 type seal struct {
 	fleet []byte
 	keys  [][]byte
@@ -29,7 +29,7 @@
 	seen  map[string][]counts // by name, of the newest two processes
 }
 
-// counts are the messages seen of one process: the highest and a bit for each of those before it.
+// counts is the replay window of one process: the highest count seen and a bit for each count before it.
 type counts struct {
 	start   uint64
 	highest uint64
@@ -41,6 +41,7 @@
 	return &seal{fleet: sum[:4], keys: c.keys, seen: map[string][]counts{}}
 }
 
+// mac returns the MAC over the fleet, the count and the body of a datagram.
 func mac(key []byte, s *wire.Sealed) []byte {
 	h := hmac.New(sha256.New, key)
 	var count [8]byte
@@ -51,7 +52,7 @@
 	return h.Sum(nil)[:macLen]
 }
 
-// close gives the datagram of a message.
+// close returns the authenticated datagram of a message.
 func (s *seal) close(m *wire.Message) ([]byte, error) {
 	body, err := proto.Marshal(m)
 	if err != nil {
@@ -76,7 +77,7 @@
 	forgotten refusal = "too many senders"
 )
 
-// open gives the message of a datagram, or why there is none.
+// open verifies a datagram and returns its message, or the reason for which it is rejected.
 func (s *seal) open(text []byte) (*wire.Message, refusal) {
 	var sealed wire.Sealed
 	switch {
@@ -103,8 +104,8 @@
 	return m, s.fresh(m.From, m.Start, sealed.Count)
 }
 
-// fresh notes a message's count; one that was seen, or is older than any that may be late, is played again. Of the
-// processes that went by a name the newest two are kept: the last but one may still run, and learns that it is replaced.
+// fresh records the count of a message. A count that was seen, or is older than the window, is a replay. The two latest
+// processes of each name are kept: the older one may still run, until it learns that it is replaced.
 func (s *seal) fresh(name string, start, count uint64) refusal {
 	of := s.seen[name]
 	at := slices.IndexFunc(of, func(c counts) bool { return c.start == start })
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -2,16 +2,17 @@
 
 import "math"
 
-const fallFor = 120.0 // seconds in which all of a fleet may be told gone: each node's part of a budget grows no faster
+const fallFor = 120.0 // seconds in which the smoothed number falls by the whole settled size at most
 
-// Share smooths the number of nodes by which a node takes its part of what all share. It rises at once, and falls
-// slowly to half of the fleet's settled size at the least. Guards against the two halves of a cut fleet each taking
-// the whole of a cold host's budget: half of it is what the module gives out, so together they stay within it.
+// Share smooths the number of nodes by which a node divides a budget that all nodes share. The number rises at once, and
+// falls slowly, to half of the fleet's settled size at the least. This guards against the two halves of a partitioned
+// fleet each giving out the whole of a cold host's budget: the module gives out half of it, so that both stay within it.
 type Share struct {
 	n, at float64
 }
 
-// Take gives the number of nodes to reckon with, at a time in seconds, for so many that live of so many settled.
+// Take returns the number of nodes to divide by at the time now, in seconds. living is the number of members that are
+// alive or suspect, settled the number of nodes in the settings.
 func (s *Share) Take(now float64, living, settled int) int {
 	least := math.Max(float64(living), math.Ceil(float64(settled)/2))
 	if s.n == 0 {
