--- a/internal/configfeed/types.go
+++ b/internal/configfeed/types.go
@@ -7,14 +7,19 @@
 // the follower has, or after the requested wait. Followers never replace a version by an older one.
 package configfeed
 
-import "cmp"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Limits of what is distributed. A change has to reach every node within seconds on a small budget of bytes, so both
 // the whole state and one change are bounded.
 const (
 	MaxStateBytes  = 1 << 20 // of all keys and values of a state
 	MaxChangeBytes = 64 << 10
-	MaxNameBytes   = 64 // of a server's or follower's name
+	MaxNameBytes   = 64  // of a server's or follower's name
+	MaxReasonBytes = 512 // of a refusal
+	MaxEpoch       = 1 << 53
 )
 
 // Version orders states. An epoch is begun by an operator after a restored backup or a lost disk; within an epoch
@@ -29,6 +34,17 @@
 	return cmp.Or(cmp.Compare(v.Epoch, other.Epoch), cmp.Compare(v.Revision, other.Revision))
 }
 
+func (v Version) String() string { return fmt.Sprintf("%d:%d", v.Epoch, v.Revision) }
+
+// newest gives the newer of two versions. Epochs beyond MaxEpoch are nobody's and count as nothing, so that a broken
+// follower can't use the epochs up.
+func newest(a, b Version) Version {
+	if b.Epoch > MaxEpoch || b.Compare(a) <= 0 {
+		return a
+	}
+	return b
+}
+
 // Digest is a hash of a state's entries, the same at every holder of the same entries.
 type Digest uint64
 
@@ -68,6 +84,8 @@
 	Have     Version  `json:"have"`
 	Digest   Digest   `json:"digest,string"`
 	Refused  *Refusal `json:"refused,omitempty"`
+	Whole    bool     `json:"whole,omitempty"` // a delta did not fit: a snapshot is wanted
+	Newest   Version  `json:"newest,omitzero"` // of all that the follower was told or shown
 	Wait     float64  `json:"wait_s"`
 }
 
@@ -83,21 +101,25 @@
 	Diverged  UpdateKind = "diverged"  // the same version with another digest: one of the two was restored
 )
 
-// Update answers a Poll. Version is the newest one that the server has.
+// Update answers a Poll. Version is the newest one that the server has. A follower that is a server gets Revisions in
+// place of Deltas, so that it can tell the history too.
 type Update struct {
-	Kind    UpdateKind `json:"kind"`
-	Server  string     `json:"server"`
-	Version Version    `json:"version"`
-	Deltas  []Delta    `json:"deltas,omitempty"`
-	State   *State     `json:"state,omitempty"`
+	Kind      UpdateKind `json:"kind"`
+	Server    string     `json:"server"`
+	Version   Version    `json:"version"`
+	Isolated  bool       `json:"isolated,omitempty"` // the server does not reach a majority of the servers
+	Deltas    []Delta    `json:"deltas,omitempty"`
+	Revisions []Revision `json:"revisions,omitempty"`
+	State     *State     `json:"state,omitempty"`
 }
 
 // Revision is one entry of the history: what a change did, when and at whose request.
 type Revision struct {
-	Delta  Delta   `json:"delta"`
-	At     float64 `json:"at_s"` // Unix time at the writer
-	Author string  `json:"author"`
-	Note   string  `json:"note,omitempty"`
+	Delta    Delta   `json:"delta"`
+	At       float64 `json:"at_s"` // Unix time at the writer
+	Author   string  `json:"author"`
+	Note     string  `json:"note,omitempty"`
+	Proposal string  `json:"proposal,omitempty"` // ID of the proposal
 }
 
 // Proposal asks the writer for a new revision with these entries in place of all those before. It is taken only while
@@ -119,9 +141,10 @@
 	Conflict  OutcomeKind = "conflict"   // the newest version is another one: Outcome.Version
 	NoChange  OutcomeKind = "no_change"  // the entries are those of the newest version
 	NotWriter OutcomeKind = "not_writer" // Outcome.Writer takes proposals
-	NotReady  OutcomeKind = "not_ready"  // the writer has not heard a majority of the servers since its start, or knows of a newer version
-	TooLarge  OutcomeKind = "too_large"
-	Failed    OutcomeKind = "failed" // the disk did not take it; whether it is kept is not known
+	NotReady  OutcomeKind = "not_ready"  // Outcome.Detail says why: see Server.Propose
+	TooLarge  OutcomeKind = "too_large"  // MaxStateBytes or MaxChangeBytes is passed
+	Invalid   OutcomeKind = "invalid"    // Outcome.Detail says why
+	Failed    OutcomeKind = "failed"     // the disk did not take it; whether it is kept is not known
 )
 
 // Outcome answers a Proposal.
