--- /dev/null
+++ b/internal/rig/traffic.go
@@ -0,0 +1,74 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gorseledge/internal/rig/standin"
+)
+
+const (
+	flowTimeout     = 2.0 // seconds that a client gives a node to answer
+	lateAnswerGrace = 5.0 // seconds more in which a late answer is still recorded
+	flowLines       = 4   // lines that a client sends on an established flow
+	flowLineGap     = 250 * time.Millisecond
+	budgetInterval  = time.Second
+
+	// ownBudgetShare is the part of a cold host's budget that the module gives out, over all nodes.
+	ownBudgetShare = 0.5
+)
+
+// traffic starts clients at random times, each at a random node that runs, until the first context ends. A client that
+// has come stays until its flow is over or the second context ends.
+func (r *Rig) traffic(ctx, whole context.Context) {
+	if r.script.Flows <= 0 {
+		return
+	}
+	for id := 1; ; id++ {
+		r.mu.Lock()
+		gap := r.rand.ExpFloat64() / r.script.Flows
+		n := r.nodes[r.rand.IntN(len(r.nodes))]
+		key := r.rand.Uint64()
+		r.mu.Unlock()
+		select {
+		case <-time.After(time.Duration(gap * 1e9)):
+		case <-ctx.Done():
+			return
+		}
+		if !n.up() { // as a front that sees which nodes run sends it no client
+			continue
+		}
+		r.flows.Go(func() {
+			began := r.history.now()
+			f := standin.Play(whole, n.client, fmt.Sprintf("%08x", id), key, flowTimeout, lateAnswerGrace, flowLines,
+				flowLineGap)
+			if whole.Err() != nil { // the run was interrupted
+				return
+			}
+			r.history.add(Event{What: eventFlow, Node: n.i, Answer: string(f.Answer), Count: f.Answers, Ended: f.Ended,
+				Began: began})
+		})
+	}
+}
+
+// recordBudget records every second which part of a cold host's budget all running nodes together give out, each by
+// the number of nodes that it reckons with.
+func (r *Rig) recordBudget(ctx context.Context) {
+	for {
+		select {
+		case <-time.After(budgetInterval):
+		case <-ctx.Done():
+			return
+		}
+		sum := 0.0
+		for _, a := range r.views(ctx) {
+			if a.err == nil && a.view.Nodes > 0 {
+				sum += ownBudgetShare / float64(a.view.Nodes)
+			}
+		}
+		if sum > 0 && ctx.Err() == nil {
+			r.history.add(Event{What: eventBudget, Part: sum})
+		}
+	}
+}
