Tests of configuration with real processes, and that without control servers nothing of it exists

Cause: that a revision reaches a running program, and that a fleet without control servers pays nothing for it, was shown by no test.

A fleet file without control servers takes one descriptor, two goroutines and a log line more than none; the build for nodes alone links none of the new packages. The follower's polls that fail are logged no longer: the log tells of silence once.

--- a/cmd/gorseledge/alone_test.go
+++ b/cmd/gorseledge/alone_test.go
@@ -21,13 +21,17 @@
 
 var created = regexp.MustCompile(`(?m)^created by (\S+)`)
 
-// traced starts a build of the node without a fleet file, plays a flow and ends it by a dump of its
-// goroutines.
-func traced(t *testing.T, build string) (out trace) {
+// traced starts a build of the node with a fleet file, or an empty path for none, plays a flow and ends it by a dump
+// of its goroutines.
+func traced(t *testing.T, build, fleet string) (out trace) {
 	was := program
 	program = build
 	defer func() { program = was }()
-	s := start(t, "pass", 1, 200)
+	s := &stage{T: t, fleet: fleet}
+	s.begin("pass", 1, 200)
+	if fleet != "" {
+		s.logged("member of a fleet")
+	}
 	client, host := s.established()
 	client.say("M 1\r\n")
 	host.expect("M 1")
@@ -54,7 +58,7 @@
 		if json.Unmarshal([]byte(line), &fields) != nil || fields["reason"] == "checked" {
 			continue // how often it is asked is chance
 		}
-		for _, key := range []string{"time", "listen", "setup_s", "lasted_s"} {
+		for _, key := range []string{"time", "listen", "setup_s", "lasted_s", "address"} {
 			delete(fields, key)
 		}
 		plain, _ := json.Marshal(fields)
@@ -77,12 +81,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, lib := range []string{"protobuf", "membership", "internal/fleet\n"} {
+	for _, lib := range []string{"protobuf", "membership", "internal/fleet\n", "configfeed", "livesettings", "internal/strict", "go-toml"} {
 		if strings.Contains(string(deps), lib) {
 			t.Errorf("it links %s", lib)
 		}
 	}
-	full, bare := traced(t, program), traced(t, alone)
+	full, bare := traced(t, program, ""), traced(t, alone, "")
 	for _, c := range []struct {
 		what       string
 		full, bare []string
@@ -106,3 +110,44 @@
 		t.Errorf("%v: %s", err, out)
 	}
 }
+
+// beside gives what a list has that another one has not, each item as often as it has it more.
+func beside(list, other []string) (more []string) {
+	left := map[string]int{}
+	for _, item := range other {
+		left[item]++
+	}
+	for _, item := range list {
+		if left[item]--; left[item] < 0 {
+			more = append(more, item)
+		}
+	}
+	return more
+}
+
+// A fleet file that names no control servers costs what a fleet file cost before there were any: the members' socket,
+// which counts against the limit, the goroutines that serve it, and a line of the log.
+func TestFleetFileWithoutControl(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet.toml")
+	text := fmt.Sprintf("fleet = \"lima\"\naddress = %q\njoin = [%q]\nkey = \"00112233445566778899aabbccddeeff\"\n", freeAddress(t), freeAddress(t))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	own, member := traced(t, program, ""), traced(t, program, path)
+	const started = `{"elder":false,"level":"info","message":"started","node":"n1","sockets":%d}`
+	for _, c := range []struct {
+		what       string
+		own, with  []string
+		more, less []string
+	}{
+		{"descriptors", own.descriptors, member.descriptors, []string{"socket"}, nil},
+		{"goroutines", own.goroutines, member.goroutines,
+			[]string{"golang.org/x/sync/errgroup.(*Group).Go", "gorseledge/internal/fleet.(*Fleet).serve"}, nil},
+		{"log", own.log, member.log, []string{fmt.Sprintf(started, 183),
+			`{"fleet":"lima","level":"info","message":"member of a fleet","node":"n1"}`}, []string{fmt.Sprintf(started, 184)}},
+	} {
+		if more, less := beside(c.with, c.own), beside(c.own, c.with); !slices.Equal(more, c.more) || !slices.Equal(less, c.less) {
+			t.Errorf("%s: more\n%s\nand less\n%s", c.what, strings.Join(more, "\n"), strings.Join(less, "\n"))
+		}
+	}
+}
--- a/cmd/gorseledge/main_test.go
+++ b/cmd/gorseledge/main_test.go
@@ -56,6 +56,7 @@
 	sockets int
 	admin   string // the second address; empty for none
 	dir     string // TMPDIR; empty for none
+	fleet   string // path of the fleet file; empty for none
 }
 
 type lockedBuffer struct {
@@ -114,6 +115,9 @@
 	if s.admin != "" {
 		s.config["admin_addr"] = s.admin
 	}
+	if s.fleet != "" {
+		s.config["fleet"] = s.fleet
+	}
 	s.path = filepath.Join(t.TempDir(), "config.json")
 	s.configure()
 	t.Cleanup(func() {
--- a/cmd/gorseledge/upgrade_test.go
+++ b/cmd/gorseledge/upgrade_test.go
@@ -122,14 +122,17 @@
 }
 
 // tryOnce is one client: what it was told, or what became of its connection.
-func (s *stage) tryOnce() string {
+func (s *stage) tryOnce() string { return s.tryLine(first(900)) }
+
+// tryLine is one client with a first line of its own.
+func (s *stage) tryLine(line string) string {
 	c, err := net.Dial("tcp", s.address)
 	if err != nil {
 		return err.Error()
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(patience))
-	if _, err := io.WriteString(c, first(900)); err != nil {
+	if _, err := io.WriteString(c, line); err != nil {
 		return err.Error()
 	}
 	text, err := bufio.NewReader(c).ReadString('\n')
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gorseledge/internal/configfeed"
 	"gorseledge/internal/configfeed/feedhttp"
 	"gorseledge/internal/fleet/view"
@@ -114,7 +116,7 @@
 	seed := p.options.Seed ^ uint64(membership.Number(p.options.Name))<<32 // nodes without a seed differ by name
 	p.follower = feedhttp.NewFollower(feedhttp.FollowerOptions{Fleet: p.config.Fleet, Keys: p.config.keys,
 		Config: configfeed.FollowerConfig{Name: p.options.Name, Region: p.config.Region, Servers: p.config.servers(), Seed: seed},
-		Via:    p.config.Via, Log: p.options.Log, Have: p.state,
+		Via:    p.config.Via, Log: p.options.Log.Level(zerolog.InfoLevel), Have: p.state,
 		Install: func(state configfeed.State, _ []string) error { return p.install(ctx, state) }})
 	return p.follower
 }
