Rig: control servers, their faults, changes of configuration, and checkers of them

Cause: the distribution of configuration was judged on the virtual clock only. Change: a script may name control servers; nodes and servers reach them through relays of their own. Faults: stop, kill, restart, wipe and rollback of a server, one-sided cuts between servers and from nodes, a region cut off; drawn ones by drawn_control_faults. Changes go on all the time, each third two at once. Judged: no node goes back, none has half a change, nothing accepted is lost while its disk lives, in force within in_force, a last change is accepted, no server ends by itself.

--- a/cmd/gorselab/fleet.go
+++ b/cmd/gorselab/fleet.go
@@ -27,6 +27,7 @@
 	from, seeds uint64
 	out         string // directory for what is kept; none where empty
 	program     string // path of the built node; built from this checkout where empty
+	control     string // the same of the control server
 	quiet       bool
 }
 
@@ -43,6 +44,7 @@
 	c.Flags().Uint64Var(&o.seeds, "seeds", 1, "how many seeds, from that one on")
 	c.Flags().StringVar(&o.out, "out", "", "keep history, result, timeline and the nodes' directories here")
 	c.Flags().StringVar(&o.program, "node", "", "the built node; built from this checkout where it is missing")
+	c.Flags().StringVar(&o.control, "control", "", "the built control server; built from this checkout where it is missing")
 	c.Flags().BoolVar(&o.quiet, "quiet", false, "say only how it ended")
 	return c
 }
@@ -62,7 +64,12 @@
 	}
 	defer os.RemoveAll(scratch)
 	if o.program == "" {
-		if o.program, err = build(cmd, scratch); err != nil {
+		if o.program, err = build(cmd, scratch, "gorseledge"); err != nil {
+			return err
+		}
+	}
+	if o.control == "" && script.Control > 0 {
+		if o.control, err = build(cmd, scratch, "gorsecontrol"); err != nil {
 			return err
 		}
 	}
@@ -91,7 +98,7 @@
 func runFleet(cmd *cobra.Command, script *rig.Script, seed uint64, scratch string, o fleetOptions) (*rig.Result, error) {
 	temporary := filepath.Join(scratch, fmt.Sprint(seed))
 	defer os.RemoveAll(temporary)
-	options := rig.Options{Program: o.program, Seed: seed, Dir: temporary}
+	options := rig.Options{Program: o.program, Control: o.control, Seed: seed, Dir: temporary}
 	if !o.quiet {
 		options.Progress = func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), line) }
 	}
@@ -109,18 +116,18 @@
 	return result, keep(o.out, result)
 }
 
-// build builds the node of this checkout into a directory and returns its path.
-func build(cmd *cobra.Command, dir string) (string, error) {
+// build builds a program of this checkout into a directory and returns its path.
+func build(cmd *cobra.Command, dir, name string) (string, error) {
 	mod, err := exec.Command("go", "env", "GOMOD").Output()
 	root := filepath.Dir(strings.TrimSpace(string(mod)))
 	if err != nil || root == "." || root == "/dev" {
-		return "", errors.New("no checkout to build the node from: name one with --node")
+		return "", errors.New("no checkout to build the programs from: name them with --node and --control")
 	}
-	program := filepath.Join(dir, "gorseledge")
-	b := exec.CommandContext(cmd.Context(), "go", "build", "-o", program, "./cmd/gorseledge")
+	program := filepath.Join(dir, name)
+	b := exec.CommandContext(cmd.Context(), "go", "build", "-o", program, "./cmd/"+name)
 	b.Dir, b.Stderr = root, cmd.ErrOrStderr()
 	if err := b.Run(); err != nil {
-		return "", fmt.Errorf("the node does not build: %w", err)
+		return "", fmt.Errorf("%s does not build: %w", name, err)
 	}
 	return program, nil
 }
@@ -154,10 +161,10 @@
 // summary prints a table over the runs of several seeds: counts, and the median and 99th percentile of times.
 func summary(w io.Writer, played []*rig.Result) {
 	var calls, faults, broken int
-	var met, agreed, first, last []float64
+	var met, agreed, first, last, inForce []float64
 	for _, r := range played {
 		calls, faults, broken = calls+r.Calls, faults+len(r.Faults), broken+len(r.Breaks)
-		met = append(met, r.Met)
+		met, inForce = append(met, r.Met), append(inForce, r.InForce...)
 		if r.Agreed >= 0 {
 			agreed = append(agreed, r.Agreed)
 		}
@@ -175,6 +182,7 @@
 		{"agreed after the last fault", agreed},
 		{"death known to the first", first},
 		{"death known to the last", last},
+		{"a change in force at the last node", inForce},
 	} {
 		if len(q.values) > 0 {
 			fmt.Fprintf(t, "%s, median and 99th\t%.2f s\t%.2f s\t(%d)\n", q.name, members.Quantile(q.values, 0.5),
@@ -201,6 +209,10 @@
 	if r.Agreed >= 0 {
 		fmt.Fprintf(t, "agreed after the last fault\t%.1f s\n", r.Agreed)
 	}
+	if len(r.InForce) > 0 {
+		fmt.Fprintf(t, "a change in force at the last node, median and longest\t%.2f s\t%.2f s\t(%d)\n",
+			members.Quantile(r.InForce, 0.5), slices.Max(r.InForce), len(r.InForce))
+	}
 	var answers []string
 	for a := range r.Answers {
 		answers = append(answers, a)
--- /dev/null
+++ b/internal/rig/control_faults.go
@@ -0,0 +1,89 @@
+package rig
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// applyFaults applies the faults of control servers at their times and returns when the last is over.
+func (c *control) applyFaults(ctx context.Context) error {
+	started := time.Now()
+	waitUntil := func(seconds float64) error {
+		return sleep(ctx, time.Until(started.Add(time.Duration(seconds*1e9))))
+	}
+	group := new(errgroup.Group)
+	for _, f := range c.rig.script.DrawControl(c.rig.Seed) {
+		group.Go(func() error {
+			if err := waitUntil(f.At); err != nil {
+				return err
+			}
+			c.add(eventControlFault, ControlEvent{Fault: &f})
+			c.rig.progressf("%5.1f s  %s", f.At, f)
+			if err := c.changeFault(f, false); err != nil {
+				return err
+			}
+			if err := waitUntil(f.At + f.For); err != nil {
+				return err
+			}
+			err := c.changeFault(f, true)
+			c.add(eventControlOver, ControlEvent{Fault: &f})
+			return err
+		})
+	}
+	return group.Wait()
+}
+
+// changeFault begins a fault, or ends it where over is true.
+func (c *control) changeFault(f ControlFault, over bool) error {
+	if controlKinds[f.Kind] {
+		c.changeLinks(f, over)
+		return nil
+	}
+	group := new(errgroup.Group)
+	for _, i := range f.Servers {
+		group.Go(func() error {
+			if over {
+				return c.servers[i].over(f)
+			}
+			return c.servers[i].begin(f)
+		})
+	}
+	return group.Wait()
+}
+
+// changeLinks cuts the links of a fault, or ends that. A link passes again once no fault cuts it.
+func (c *control) changeLinks(f ControlFault, over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for l, relay := range c.relays {
+		if !c.cutBy(f, l) {
+			continue
+		}
+		if over {
+			c.cuts[l]--
+		} else {
+			c.cuts[l]++
+		}
+		relay.set(func(w *Way) { w.Cut = c.cuts[l] > 0 })
+	}
+}
+
+// cutBy reports whether a fault cuts a link.
+func (c *control) cutBy(f ControlFault, l link) bool {
+	switch f.Kind {
+	case faultCutNodes:
+		return !l.server && slices.Contains(f.Nodes, l.from) && slices.Contains(f.Servers, l.to)
+	case faultCut:
+		return l.server && slices.Contains(f.Servers, l.from) && (len(f.To) == 0 || slices.Contains(f.To, l.to))
+	case faultRegion:
+		from := regions[l.from%len(regions)]
+		if l.server {
+			from = c.servers[l.from].region()
+		}
+		return (from == f.Region) != (c.servers[l.to].region() == f.Region)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rig/control_judge.go
@@ -0,0 +1,255 @@
+package rig
+
+import (
+	"fmt"
+	"slices"
+
+	"gorseledge/internal/configfeed"
+)
+
+// The rules of the configuration's distribution.
+const (
+	RuleNoReturn = "no node goes back a revision"
+	RuleWhole    = "no node has a part of a change in force"
+	RulePromise  = "no accepted change is lost while its disk lives"
+	RuleInForce  = "a change is in force everywhere within the stated time"
+	RuleAccept   = "after all faults a change is accepted"
+	RuleServer   = "no control server ends by itself"
+)
+
+// mayReachPeers is the time in seconds in which an accepted change reaches servers that are not cut off or down.
+const mayReachPeers = 5.0
+
+// observationTime is the time in seconds by which the rig may see a node's version late.
+const observationTime = 0.5
+
+// checkControl returns the violations of the rules of the configuration's distribution.
+func checkControl(s *Script, events []Event) (out []Break) {
+	if s.Control == 0 {
+		return nil
+	}
+	out = append(out, checkNoReturn(events)...)
+	out = append(out, checkWhole(events)...)
+	out = append(out, checkPromises(s, events)...)
+	out = append(out, checkInForce(s, events)...)
+	out = append(out, checkAccept(events)...)
+	for _, e := range events {
+		if e.What == eventServerDied {
+			out = append(out, Break{RuleServer, e.At, fmt.Sprintf("c%d: %s", e.Control.Server, e.Note)})
+		}
+	}
+	return out
+}
+
+// checkAccept checks the last proposal, which comes after all faults and whose like nobody else makes.
+func checkAccept(events []Event) (out []Break) {
+	for _, e := range slices.Backward(events) {
+		if e.What != eventApply {
+			continue
+		}
+		if e.Control.Outcome != string(configfeed.Accepted) {
+			out = append(out, Break{RuleAccept, e.At, fmt.Sprintf("it was answered %s: %s", e.Control.Outcome, e.Note)})
+		}
+		return out
+	}
+	return out
+}
+
+// checkNoReturn checks that the versions of a node only go up. A node that had no process for a while has forgotten what
+// it had, and begins anew.
+func checkNoReturn(events []Event) (out []Break) {
+	processes, had := map[int]int{}, map[int]configfeed.Version{}
+	for _, e := range events {
+		switch e.What {
+		case eventStart:
+			if processes[e.Node]++; processes[e.Node] == 1 {
+				delete(had, e.Node)
+			}
+		case eventExit:
+			processes[e.Node]--
+		case eventConfig:
+			if v := e.Control.Version; v.Compare(had[e.Node]) < 0 {
+				out = append(out, Break{RuleNoReturn, e.At, fmt.Sprintf("n%d from %s to %s", e.Node, had[e.Node], v)})
+			}
+			had[e.Node] = e.Control.Version
+		}
+	}
+	return out
+}
+
+// checkWhole checks that a node has, under each version, the entries of a change that was accepted as that version, or
+// of one whose answer was lost or came later.
+func checkWhole(events []Event) (out []Break) {
+	accepted, unknown := map[configfeed.Version][]string{}, map[string]bool{}
+	for _, e := range events {
+		switch {
+		case e.What == eventApply && e.Control.Outcome == string(configfeed.Accepted), e.What == eventEpoch:
+			accepted[e.Control.Version] = append(accepted[e.Control.Version], e.Control.Digest)
+		case e.What == eventApply && (e.Control.Outcome == outcomeUnknown || e.Control.Outcome == string(configfeed.Failed)):
+			unknown[e.Control.Digest] = true
+		}
+	}
+	for _, e := range events {
+		if e.What != eventConfig || e.Control.Version == (configfeed.Version{}) {
+			continue
+		}
+		if c := e.Control; !slices.Contains(accepted[c.Version], c.Digest) && !unknown[c.Digest] {
+			out = append(out, Break{RuleWhole, e.At, fmt.Sprintf("n%d has digest %s under %s, accepted was %v", e.Node, c.Digest,
+				c.Version, accepted[c.Version])})
+		}
+	}
+	return out
+}
+
+// controlEpisode is a fault of control servers with the time for which it lasted.
+type controlEpisode struct {
+	ControlFault
+	interval
+}
+
+// controlEpisodes pairs the begin of each fault of control servers with its end.
+func controlEpisodes(events []Event) (out []controlEpisode) {
+	open := map[string]int{}
+	for _, e := range events {
+		switch e.What {
+		case eventControlFault:
+			open[fmt.Sprint(*e.Control.Fault)] = len(out)
+			out = append(out, controlEpisode{*e.Control.Fault, interval{e.At, forever}})
+		case eventControlOver:
+			out[open[fmt.Sprint(*e.Control.Fault)]].to = e.At
+		}
+	}
+	return out
+}
+
+// checkPromises checks that the writer holds every accepted change at the end, unless its disk was taken away after the
+// change and other faults may have kept the change from the others.
+func checkPromises(s *Script, events []Event) (out []Break) {
+	at := slices.IndexFunc(events, func(e Event) bool { return e.What == eventMarks })
+	if at < 0 {
+		return nil
+	}
+	faults := controlEpisodes(events)
+	for _, e := range events {
+		if e.What != eventApply || e.Control.Outcome != string(configfeed.Accepted) ||
+			slices.Contains(events[at].Control.Marks, e.Control.ID) || released(e.At, faults) {
+			continue
+		}
+		text := fmt.Sprintf("%s was accepted as %s", e.Control.ID, e.Control.Version)
+		out = append(out, Break{RulePromise, e.At, text})
+	}
+	return out
+}
+
+// released reports whether a change that was accepted at a time need not be held any more.
+func released(accepted float64, faults []controlEpisode) bool {
+	for _, lost := range faults {
+		if !touchesDirectory(lost.ControlFault) || !slices.Contains(lost.Servers, 0) || lost.to < accepted {
+			continue
+		}
+		if lost.from < accepted+mayReachPeers {
+			return true
+		}
+		for _, other := range faults {
+			if other.interval != lost.interval && other.from < lost.to+mayReachPeers && other.to > accepted {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkInForce checks that the waits of the rig for a version succeeded, and that each change which nothing kept from the
+// nodes was in force at all of them in time.
+func checkInForce(s *Script, events []Event) (out []Break) {
+	for _, e := range events {
+		if e.What == eventLate {
+			out = append(out, Break{RuleInForce, e.At, fmt.Sprintf("not within %g s: %s", s.InForce, e.Note)})
+		}
+	}
+	for _, change := range judgedChanges(s, events) {
+		if change.took > s.InForce+observationTime {
+			out = append(out, Break{RuleInForce, change.at,
+				fmt.Sprintf("%s at n%d after %.2f s", change.version, change.last, change.took)})
+		}
+	}
+	return out
+}
+
+// inForceTimes returns for each change that is judged the seconds until it was in force at the last node.
+func inForceTimes(s *Script, events []Event) (times []float64) {
+	for _, change := range judgedChanges(s, events) {
+		times = append(times, change.took)
+	}
+	return times
+}
+
+// judgedChange is an accepted change and the node that had it in force last.
+type judgedChange struct {
+	at      float64
+	version configfeed.Version
+	took    float64
+	last    int
+}
+
+// judgedChanges returns the accepted changes in whose time at most one fault of control servers lasted, which was neither
+// one of the writer's process nor a region's cut. Nodes that were not up for the whole time do not count.
+func judgedChanges(s *Script, events []Event) (out []judgedChange) {
+	faults := controlEpisodes(events)
+	nodeFaults := episodes(events)
+	end := endOf(events)
+	for _, e := range events {
+		if e.What != eventApply || e.Control.Outcome != string(configfeed.Accepted) {
+			continue
+		}
+		window := interval{e.At - s.InForce, e.At + s.InForce}
+		if window.to > end || keptFromNodes(faults, window) {
+			continue
+		}
+		change := judgedChange{at: e.At, version: e.Control.Version}
+		for node := range s.Nodes {
+			if disturbed(nodeFaults, node, window) {
+				continue
+			}
+			if took := firstInForce(events, node, e.Control.Version) - e.At; took > change.took {
+				change.took, change.last = took, node
+			}
+		}
+		out = append(out, change)
+	}
+	return out
+}
+
+// keptFromNodes reports whether faults of control servers may keep a change from nodes for longer than is stated: more
+// than one at a time, one of the writer's process, a region's cut, or a restart of several servers.
+func keptFromNodes(faults []controlEpisode, window interval) bool {
+	lasting := 0
+	for _, f := range faults {
+		if f.from > window.to || f.to < window.from {
+			continue
+		}
+		ofWriter := !controlKinds[f.Kind] && slices.Contains(f.Servers, 0)
+		if ofWriter || f.Kind == faultRegion || len(f.Servers) > 1 {
+			return true
+		}
+		lasting++
+	}
+	return lasting > 1
+}
+
+// disturbed reports whether a node had a fault of its process within a time.
+func disturbed(faults []episode, node int, window interval) bool {
+	return slices.ContainsFunc(faults, func(f episode) bool {
+		return !faultKinds[f.Kind].onLink && slices.Contains(f.Nodes, node) && f.from <= window.to && f.to >= window.from
+	})
+}
+
+// firstInForce returns when a node was first seen with a version or a newer one, or infinity.
+func firstInForce(events []Event, node int, v configfeed.Version) float64 {
+	for _, e := range events {
+		if e.What == eventConfig && e.Node == node && e.Control.Version.Compare(v) >= 0 {
+			return e.At
+		}
+	}
+	return forever
+}
--- /dev/null
+++ b/internal/rig/control_server.go
@@ -0,0 +1,215 @@
+package rig
+
+import (
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"gorseledge/internal/configfeed/controlfile"
+	"gorseledge/internal/fleet"
+)
+
+// firstServerAddress is the index from which control servers have their loopback addresses, apart from those of nodes.
+const firstServerAddress = 1000
+
+// controlServer is a control server of the rig: its address, its directory and its process.
+type controlServer struct {
+	control *control
+	i       int
+	dir     string
+	address string
+
+	mu     sync.Mutex // guards the fields below
+	now    *process
+	ending bool // the rig ends the process
+}
+
+func (s *controlServer) name() string   { return fmt.Sprintf("c%d", s.i) }
+func (s *controlServer) region() string { return serverRegions[s.i] }
+
+// data is the directory that a wipe and a rollback act on.
+func (s *controlServer) data() string { return filepath.Join(s.dir, "data") }
+
+// startControl opens the relays to the control servers and starts them.
+func startControl(r *Rig) (*control, error) {
+	c := newControl(r)
+	for i := range r.script.Control {
+		address, err := free(firstServerAddress + i)
+		if err != nil {
+			return c, err
+		}
+		c.servers = append(c.servers, &controlServer{control: c, i: i, dir: filepath.Join(r.Dir, fmt.Sprintf("c%d", i)),
+			address: address})
+	}
+	for k, to := range c.servers {
+		for i := range c.servers {
+			if i != k {
+				if err := c.addRelay(link{server: true, from: i, to: k}, to.address); err != nil {
+					return c, err
+				}
+			}
+		}
+		for i := range r.nodes {
+			if err := c.addRelay(link{from: i, to: k}, to.address); err != nil {
+				return c, err
+			}
+		}
+	}
+	for _, s := range c.servers {
+		if err := os.RemoveAll(s.dir); err != nil { // of an earlier run with the same directory
+			return c, err
+		}
+		if err := s.writeFile(); err != nil {
+			return c, err
+		}
+		if err := s.start(); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// addTo names the control servers in a node's fleet file.
+func (c *control) addTo(file *fleet.Config, node int) {
+	file.Region = regions[node%len(regions)]
+	for k, s := range c.servers {
+		file.Control = append(file.Control, fleet.ControlServer{Name: s.name(), Address: s.address, Region: s.region()})
+		file.Via[s.address] = c.relays[link{from: node, to: k}].address()
+	}
+}
+
+// writeFile writes the server's control file.
+func (s *controlServer) writeFile() error {
+	if err := os.MkdirAll(s.data(), 0o755); err != nil {
+		return err
+	}
+	file := controlfile.Config{Fleet: s.control.rig.fleetName(), Name: s.name(), Key: hex.EncodeToString([]byte(fleetKey)),
+		Directory: s.data(), Writer: s.control.servers[0].name(), Via: map[string]string{}}
+	for k, other := range s.control.servers {
+		file.Servers = append(file.Servers,
+			controlfile.Server{Name: other.name(), Address: other.address, Region: other.region()})
+		if k != s.i {
+			file.Via[other.address] = s.control.relays[link{server: true, from: s.i, to: k}].address()
+		}
+	}
+	text, err := toml.Marshal(file)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(s.path(), text, 0o600)
+}
+
+func (s *controlServer) path() string { return filepath.Join(s.dir, "control.toml") }
+
+// start starts the server unless it runs.
+func (s *controlServer) start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now != nil {
+		return nil
+	}
+	s.ending = false
+	rig := s.control.rig
+	command := exec.Command(rig.Control, "serve", s.path())
+	p, err := rig.launch(command, filepath.Join(s.dir, "log"), func(int) {
+		rig.history.add(Event{What: eventServerStart, Control: &ControlEvent{Server: s.i}})
+	}, func(*process, logLine) {}, s.exited)
+	s.now = p
+	return err
+}
+
+// exited records the end of the server's process.
+func (s *controlServer) exited(note string) {
+	s.mu.Lock()
+	ending := s.ending
+	s.mu.Unlock()
+	what := eventServerExit
+	if !ending {
+		what = eventServerDied
+	}
+	s.control.rig.history.add(Event{What: what, Note: note, Control: &ControlEvent{Server: s.i}})
+}
+
+// end ends the server's process by a function and waits for it.
+func (s *controlServer) end(by func(*process)) {
+	s.mu.Lock()
+	p := s.now
+	s.ending = true
+	s.mu.Unlock()
+	if p == nil {
+		return
+	}
+	by(p)
+	<-p.exited
+	s.mu.Lock()
+	s.now = nil
+	s.mu.Unlock()
+}
+
+func (s *controlServer) kill()  { s.end(func(p *process) { p.cmd.Process.Kill() }) }
+func (s *controlServer) leave() { s.end(func(p *process) { p.leave() }) }
+
+// stop stops the server's process, or continues it where held is false.
+func (s *controlServer) stop(held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now == nil {
+		return
+	}
+	signal := syscall.SIGCONT
+	if held {
+		signal = syscall.SIGSTOP
+	}
+	s.now.cmd.Process.Signal(signal)
+}
+
+// keepCopy copies the server's directory; restore puts that copy back, and wipe empties it.
+func (s *controlServer) keepCopy() error { return copyFiles(s.data(), s.data()+".old") }
+
+func (s *controlServer) restore() error {
+	if err := os.RemoveAll(s.data()); err != nil {
+		return err
+	}
+	return copyFiles(s.data()+".old", s.data())
+}
+
+func (s *controlServer) wipe() error {
+	if err := os.RemoveAll(s.data()); err != nil {
+		return err
+	}
+	return os.MkdirAll(s.data(), 0o755)
+}
+
+// begin begins a fault of the server's process.
+func (s *controlServer) begin(f ControlFault) error {
+	switch f.Kind {
+	case faultStop:
+		s.stop(true)
+	case faultKill:
+		s.kill()
+	case faultRestart:
+		s.leave()
+	case faultWipe:
+		s.kill()
+		return s.wipe()
+	case faultRollback:
+		s.kill()
+		return s.restore()
+	}
+	return nil
+}
+
+// over ends a fault of the server's process.
+func (s *controlServer) over(f ControlFault) error {
+	if f.Kind == faultStop {
+		s.stop(false)
+		return nil
+	}
+	return s.start()
+}
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -42,6 +42,8 @@
 	Began  float64 `json:"began,omitempty"`  // when a flow began
 	Part   float64 `json:"part,omitempty"`   // of a cold host's budget, that all running nodes give out
 	Note   string  `json:"note,omitempty"`
+
+	Control *ControlEvent `json:"control,omitempty"` // of control servers and the configuration
 }
 
 // history keeps the events of a run in order and writes them as JSON Lines. It is safe for concurrent use.
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -50,6 +50,7 @@
 	out = append(out, checkExits(r.Events)...)
 	out = append(out, checkKnownDeaths(s, r.Events)...)
 	out = append(out, checkBudgets(r.Events)...)
+	out = append(out, checkControl(s, r.Events)...)
 	if disagreement != "" {
 		out = append(out, Break{RuleAgree, endOf(r.Events), disagreement})
 	}
--- a/internal/rig/play.go
+++ b/internal/rig/play.go
@@ -20,6 +20,7 @@
 	Answers map[string]int // flows by their answer
 	Met     float64        // until all nodes had found each other
 	Agreed  float64        // from the end of the last fault until all agreed, -1 where they did not
+	InForce []float64      // from each accepted change without cuts until it was in force at the last node
 	Deaths  []Death        // of processes that were down for long enough that all had time to know
 	Nodes   int
 }
@@ -57,6 +58,7 @@
 	res.Events = h.all()
 	res.countFlows()
 	res.Breaks, res.Deaths = Judge(s, res, disagreement), Deaths(s, res.Events)
+	res.InForce = inForceTimes(s, res.Events)
 	return res, nil
 }
 
@@ -76,7 +78,7 @@
 	}
 	r.flows.Go(func() { r.traffic(flowing, ctx) })
 	r.flows.Go(func() { r.recordBudget(flowing) })
-	if err := r.applyFaults(ctx, res.Faults); err != nil {
+	if err := r.playFaults(ctx, res.Faults); err != nil {
 		return "", err
 	}
 	if res.Agreed, disagreement, err = r.awaitAgreement(ctx, r.script.Settle); err != nil {
@@ -90,6 +92,15 @@
 	return disagreement, nil
 }
 
+// playFaults applies the faults of nodes and of control servers, with changes of configuration going on, and waits until
+// the configuration is in force after them.
+func (r *Rig) playFaults(ctx context.Context, faults []Fault) error {
+	if r.control == nil {
+		return r.applyFaults(ctx, faults)
+	}
+	return r.control.play(ctx, func() error { return r.applyFaults(ctx, faults) })
+}
+
 // awaitJoin waits until all nodes have found each other, which is an error where it takes too long.
 func (r *Rig) awaitJoin(ctx context.Context, res *Result) (err error) {
 	var disagreement string
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -48,16 +48,16 @@
 
 func (n *node) name() string { return fmt.Sprintf("n%d", n.i) }
 
-// launch starts a process of the node and records what it logs until it has ended.
-func (n *node) launch() (*process, error) {
-	p := &process{exited: make(chan struct{}), ready: make(chan struct{})}
-	p.cmd = exec.Command(n.rig.Program)
-	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+filepath.Join(n.dir, "config.json"), "TMPDIR="+n.dir)
+// launch starts a process and writes its standard error to a log until it has ended. It calls started with the process
+// id, logged with each line that is a JSON object, and exited at the end with the exit status.
+func (r *Rig) launch(command *exec.Cmd, logPath string, started func(pid int), logged func(*process, logLine),
+	exited func(note string)) (*process, error) {
+	p := &process{cmd: command, exited: make(chan struct{}), ready: make(chan struct{})}
 	pipe, err := p.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
 	}
-	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	log, err := os.OpenFile(logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
 	}
@@ -65,21 +65,15 @@
 		log.Close()
 		return nil, err
 	}
-	n.rig.history.add(Event{What: eventStart, Node: n.i, Note: fmt.Sprint(p.cmd.Process.Pid)})
+	started(p.cmd.Process.Pid)
 	go func() {
 		in := bufio.NewScanner(pipe)
 		in.Buffer(nil, 1<<20)
 		for in.Scan() {
-			fmt.Fprintf(log, "%.3f %s\n", n.rig.history.now(), in.Bytes())
+			fmt.Fprintf(log, "%.3f %s\n", r.history.now(), in.Bytes())
 			var l logLine
-			if json.Unmarshal(in.Bytes(), &l) != nil {
-				continue
-			}
-			switch l.Message {
-			case "member":
-				n.rig.history.add(Event{What: eventMember, Node: n.i, Member: l.Member, State: l.State})
-			case "member of a fleet":
-				p.once.Do(func() { close(p.ready) })
+			if json.Unmarshal(in.Bytes(), &l) == nil {
+				logged(p, l)
 			}
 		}
 		log.Close()
@@ -88,12 +82,30 @@
 		if err != nil {
 			note = err.Error()
 		}
-		n.rig.history.add(Event{What: eventExit, Node: n.i, Note: note})
+		exited(note)
 		close(p.exited)
 	}()
 	return p, nil
 }
 
+// launch starts a process of the node and records what it logs until it has ended.
+func (n *node) launch() (*process, error) {
+	command := exec.Command(n.rig.Program)
+	command.Env = append(os.Environ(), "LB_CONFIG="+filepath.Join(n.dir, "config.json"), "TMPDIR="+n.dir)
+	return n.rig.launch(command, filepath.Join(n.dir, "log"), func(pid int) {
+		n.rig.history.add(Event{What: eventStart, Node: n.i, Note: fmt.Sprint(pid)})
+	}, func(p *process, l logLine) {
+		switch l.Message {
+		case "member":
+			n.rig.history.add(Event{What: eventMember, Node: n.i, Member: l.Member, State: l.State})
+		case "member of a fleet":
+			p.once.Do(func() { close(p.ready) })
+		}
+	}, func(note string) {
+		n.rig.history.add(Event{What: eventExit, Node: n.i, Note: note})
+	})
+}
+
 // start starts the node unless it runs.
 func (n *node) start() error {
 	n.mu.Lock()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -11,6 +11,7 @@
 // Options say how a script is run.
 type Options struct {
 	Program  string // path of the built node
+	Control  string // path of the built control server; not needed where the script has none
 	Seed     uint64
 	Dir      string            // parent of the nodes' directories
 	History  string            // file for the events (JSON Lines); none where empty
@@ -27,6 +28,7 @@
 	hosts   *standin.Hosts
 	roster  *standin.Discovery
 	client  *http.Client
+	control *control // nil where the script has no control servers
 	flows   sync.WaitGroup
 	rand    *rand.Rand
 	mu      sync.Mutex // guards rand
@@ -38,6 +40,9 @@
 		n.kill()
 	}
 	r.flows.Wait()
+	if r.control != nil {
+		r.control.close()
+	}
 	for _, l := range r.relays {
 		l.close()
 	}
--- a/internal/rig/script.go
+++ b/internal/rig/script.go
@@ -26,6 +26,12 @@
 	Drawn    int      `toml:"drawn_faults"` // number of further faults, drawn from the seed
 	Kinds    []string `toml:"drawn_kinds"`  // kinds of drawn faults; where missing, all but those of streams
 	Liveness float64  `toml:"liveness"`     // within which a death is known everywhere; Settle where missing
+
+	Control       int            `toml:"control"`              // control servers that the nodes follow: 0, 3 or 5
+	Applies       float64        `toml:"applies"`              // changes of configuration a second; each third is two at once
+	InForce       float64        `toml:"in_force"`             // within which a change is in force at every reachable node
+	ControlFaults []ControlFault `toml:"control_fault"`        // faults of control servers
+	DrawnControl  int            `toml:"drawn_control_faults"` // number of further ones, drawn from the seed
 }
 
 // Fault is one fault that the rig injects. Times are seconds from when all nodes have found each other.
@@ -120,7 +126,7 @@
 
 // Read reads a script from text and sets the defaults of missing keys. The path is used in errors only.
 func Read(path string, text []byte) (*Script, error) {
-	s := &Script{Lasts: 20, Settle: 20, Nodes: 5, Period: 0.25, Hosts: 4, Flows: 10}
+	s := &Script{Lasts: 20, Settle: 20, Nodes: 5, Period: 0.25, Hosts: 4, Flows: 10, Applies: 0.5, InForce: 6}
 	if err := strict.Decode(path, text, s); err != nil {
 		return nil, err
 	}
@@ -153,6 +159,10 @@
 		{"flows", s.Flows, 0, 500},
 		{"drawn_faults", float64(s.Drawn), 0, 200},
 		{"liveness", s.Liveness, 1, 600},
+		{"control", float64(s.Control), 0, float64(len(serverRegions))},
+		{"applies", s.Applies, 0, 20},
+		{"in_force", s.InForce, 1, 60},
+		{"drawn_control_faults", float64(s.DrawnControl), 0, 200},
 	} {
 		if !(r.value >= r.least && r.value <= r.most) {
 			return top(r.key), fmt.Errorf("%s: %g is not between %g and %g", r.key, r.value, r.least, r.most)
@@ -168,6 +178,14 @@
 			return strict.Place{Table: "fault", Nth: i, Key: key}, err
 		}
 	}
+	if s.Control > 0 && s.Control%2 == 0 || s.Control == 1 {
+		return top("control"), fmt.Errorf("control: %d servers, and 0, 3 or 5 are possible", s.Control)
+	}
+	for i, f := range s.ControlFaults {
+		if key, err := s.checkControlFault(f); err != nil {
+			return strict.Place{Table: "control_fault", Nth: i, Key: key}, err
+		}
+	}
 	return strict.Place{}, nil
 }
 
--- a/internal/rig/setup.go
+++ b/internal/rig/setup.go
@@ -16,6 +16,9 @@
 	"gorseledge/internal/rig/standin"
 )
 
+// fleetKey authenticates the messages of the rig's own fleet.
+const fleetKey = "a key of the rig, for its own nodes"
+
 // start starts the stand-ins, the relays and the nodes.
 func (r *Rig) start() (err error) {
 	if r.hosts, err = standin.StartHosts(r.script.Hosts); err != nil {
@@ -41,6 +44,11 @@
 			}
 		}
 	}
+	if r.script.Control > 0 {
+		if r.control, err = startControl(r); err != nil {
+			return err
+		}
+	}
 	for _, n := range r.nodes {
 		if err := r.writeNodeFiles(n); err != nil {
 			return err
@@ -76,8 +84,8 @@
 	if err := os.MkdirAll(n.dir, 0o755); err != nil {
 		return err
 	}
-	file := fleet.Config{Fleet: fmt.Sprintf("rig-%d", r.Seed), Address: n.fleet, Period: r.script.Period,
-		Key: hex.EncodeToString([]byte("a key of the rig, for its own nodes")), Via: map[string]string{}}
+	file := fleet.Config{Fleet: r.fleetName(), Address: n.fleet, Period: r.script.Period,
+		Key: hex.EncodeToString([]byte(fleetKey)), Via: map[string]string{}}
 	if r.script.Zones > 0 {
 		file.Zone = string(rune('a' + n.i%r.script.Zones))
 	}
@@ -89,6 +97,9 @@
 			file.Via[other.fleet] = r.relays[[2]int{n.i, k}].address()
 		}
 	}
+	if r.control != nil {
+		r.control.addTo(&file, n.i)
+	}
 	text, err := toml.Marshal(file)
 	if err != nil {
 		return err
