--- a/cmd/gorselab/hollow.go
+++ b/cmd/gorselab/hollow.go
@@ -6,8 +6,8 @@
 	"gorseledge/internal/scale"
 )
 
-// hollow hosts hollow nodes for a scale run.
-func hollow() *cobra.Command {
+// hollowCommand hosts hollow nodes for a scale run.
+func hollowCommand() *cobra.Command {
 	return &cobra.Command{Use: "hollow", Args: cobra.NoArgs, Hidden: true,
 		Short: "Host hollow nodes for a scale run, which starts it: requests on standard input, replies on standard output",
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/cmd/gorselab/scale.go
+++ b/cmd/gorselab/scale.go
@@ -63,7 +63,7 @@
 	}
 	defer os.RemoveAll(scratch)
 	if f.program == "" {
-		if f.program, err = build(cmd, scratch); err != nil {
+		if f.program, err = build(cmd, scratch, "gorseledge"); err != nil {
 			return err
 		}
 	}
@@ -72,7 +72,7 @@
 		return err
 	}
 	if f.control == "" && len(s.Control) > 0 {
-		if f.control, err = buildProgram(cmd, scratch, "gorsecontrol"); err != nil {
+		if f.control, err = build(cmd, scratch, "gorsecontrol"); err != nil {
 			return err
 		}
 	}
--- a/internal/rig/nodes.go
+++ b/internal/rig/nodes.go
@@ -104,7 +104,7 @@
 	if err := os.MkdirAll(n.node.dir, 0o755); err != nil {
 		return err
 	}
-	return n.node.rig.write(n.node, n.File, settled)
+	return n.node.rig.writeFiles(n.node, n.File, settled)
 }
 
 // Start starts the node where it does not run.
