--- a/cmd/gorselab/scale.go
+++ b/cmd/gorselab/scale.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"slices"
@@ -141,7 +142,7 @@
 	load, _ := os.ReadFile("/proc/loadavg")
 	return []string{
 		fmt.Sprintf("command: gorselab scale %s --seed %d, with %d real nodes and a period of %g s", s.Name, f.seed, s.Real, s.Period),
-		"revision: " + sockets.Version(),
+		"revision: " + revision(),
 		"date: " + time.Now().UTC().Format("2006-01-02 15:04 UTC"),
 		fmt.Sprintf("cores: %d", runtime.NumCPU()),
 		fmt.Sprintf("machine: %s; load at the end %s; beside it: %s", runtime.Version(), strings.TrimSpace(string(load)), beside),
@@ -149,6 +150,18 @@
 	}
 }
 
+// revision names the text that is measured: as the build knows it, or else as the checkout at hand does.
+func revision() string {
+	if built := sockets.Version(); built != "" {
+		return built
+	}
+	text, err := exec.Command("git", "describe", "--always", "--dirty").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(text))
+}
+
 // keepScale writes the table, and a chart of each cost at which several sizes were measured.
 func keepScale(out string, from []string, rows []scale.Row) error {
 	if out == "" {
