--- a/internal/configfeed/follower.go
+++ b/internal/configfeed/follower.go
@@ -89,7 +89,7 @@
 	}
 	random := rand.New(rand.NewPCG(c.Seed, 17))
 	c.Servers = preferred(c.Servers, c.Region, random)
-	return &Follower{config: c, random: random, requests: new(uint64), state: have, since: now, newest: have.Version,
+	return &Follower{config: c, random: random, requests: new(uint64), rules: rules{neverMoveOn: oneServer}, state: have, since: now, newest: have.Version,
 		pollAt: now + random.Float64()*startSpread, returnAt: math.Inf(1), returnAfter: shortestReturn}
 }
 
--- a/internal/configfeed/rules.go
+++ b/internal/configfeed/rules.go
@@ -1,6 +1,7 @@
 package configfeed
 
-// rules are the rules of safety. The zero value is in use; only tests switch single rules off, to show that their
+// rules are the rules of safety. The zero value is in use; only tests, and a build with
+// the tag oneserver for the rig's tests, switch single rules off, to show that their
 // checkers fire.
 type rules struct {
 	takeOlder       bool // a server that is behind sends what it has, and a follower takes it
--- /dev/null
+++ b/internal/configfeed/rules_any_server.go
@@ -0,0 +1,6 @@
+//go:build !oneserver
+
+package configfeed
+
+// oneServer is false in every build but the wrong one of the rig's tests.
+const oneServer = false
--- /dev/null
+++ b/internal/rig/control_judge_test.go
@@ -0,0 +1,104 @@
+package rig
+
+import (
+	"testing"
+
+	"gorseledge/internal/configfeed"
+)
+
+func version(revision uint64) configfeed.Version {
+	return configfeed.Version{Epoch: 1, Revision: revision}
+}
+
+// accepted is a change that was accepted at a time.
+func accepted(at float64, id string, revision uint64) Event {
+	return Event{At: at, What: eventApply, Control: &ControlEvent{ID: id, Outcome: string(configfeed.Accepted),
+		Version: version(revision), Digest: "d" + id}}
+}
+
+// seen is a version that a node was seen with.
+func seen(at float64, node int, id string, revision uint64) Event {
+	return Event{At: at, What: eventConfig, Node: node, Control: &ControlEvent{Version: version(revision), Digest: "d" + id}}
+}
+
+// faultOf gives the begin and end of a fault of control servers.
+func faultOf(f ControlFault) (begin, over Event) {
+	return Event{At: f.At, What: eventControlFault, Control: &ControlEvent{Fault: &f}},
+		Event{At: f.At + f.For, What: eventControlOver, Control: &ControlEvent{Fault: &f}}
+}
+
+func marks(at float64, ids ...string) Event {
+	return Event{At: at, What: eventMarks, Control: &ControlEvent{Marks: ids}}
+}
+
+// controlChecker is one of the checkers; a case is judged by the one of its rule alone.
+type controlChecker func(*Script, []Event) []Break
+
+func eventsOnly(check func([]Event) []Break) controlChecker {
+	return func(_ *Script, events []Event) []Break { return check(events) }
+}
+
+// TestControlCheckersFire gives each checker a history that breaks its rule, and one beside it that does not.
+func TestControlCheckersFire(t *testing.T) {
+	s := &Script{Nodes: 1, Control: 5, InForce: 6}
+	start, exit := Event{What: eventStart}, Event{What: eventExit}
+	wipe := ControlFault{At: 20, Kind: faultWipe, Servers: []int{0}, For: 1}
+	stop := ControlFault{At: 15, Kind: faultStop, Servers: []int{2}, For: 8}
+	other := ControlFault{At: 0, Kind: faultWipe, Servers: []int{1}, For: 3}
+	wiped, started := faultOf(wipe)
+	stopped, continued := faultOf(stop)
+	otherWiped, otherStarted := faultOf(other)
+	late := ControlFault{At: 11, Kind: faultStop, Servers: []int{2}, For: 4}
+	lateStopped, lateContinued := faultOf(late)
+	regionCut, regionBack := faultOf(ControlFault{At: 11, Kind: faultRegion, Region: "south", For: 4})
+	lost := Event{At: 3, What: eventApply, Control: &ControlEvent{ID: "x", Outcome: outcomeUnknown, Digest: "dx"}}
+	noReturn, whole := eventsOnly(checkNoReturn), eventsOnly(checkWhole)
+	accept := eventsOnly(checkAccept)
+	cases := []struct {
+		name   string
+		check  controlChecker
+		events []Event
+		rule   string // that is broken; none where empty
+	}{
+		{"forwards", noReturn, []Event{start, accepted(1, "a", 1), accepted(2, "b", 2), seen(3, 0, "a", 1), seen(4, 0, "b", 2)}, ""},
+		{"back", noReturn, []Event{start, accepted(1, "a", 1), accepted(2, "b", 2), seen(3, 0, "b", 2), seen(4, 0, "a", 1)}, RuleNoReturn},
+		{"back in an upgrade", noReturn, []Event{start, accepted(1, "a", 1), accepted(2, "b", 2), seen(3, 0, "b", 2), start, exit,
+			seen(4, 0, "a", 1)}, RuleNoReturn},
+		{"anew after a restart", noReturn, []Event{start, accepted(1, "a", 1), accepted(2, "b", 2), seen(3, 0, "b", 2), exit, start,
+			seen(4, 0, "a", 1)}, ""},
+		{"half a change", whole, []Event{start, accepted(1, "a", 1), seen(2, 0, "z", 1)}, RuleWhole},
+		{"another change's entries", whole, []Event{start, accepted(1, "a", 1), accepted(2, "b", 2), seen(3, 0, "a", 2)}, RuleWhole},
+		{"a change whose answer was lost", whole, []Event{start, lost, seen(3, 0, "x", 1)}, ""},
+		{"all held", checkPromises, []Event{accepted(1, "a", 1), marks(30, "a")}, ""},
+		{"one lost", checkPromises, []Event{accepted(1, "a", 1), accepted(2, "b", 2), marks(30, "b")}, RulePromise},
+		{"lost though another's disk was wiped", checkPromises, []Event{otherWiped, accepted(1, "a", 1), otherStarted, marks(30)}, RulePromise},
+		{"lost though all others had it", checkPromises, []Event{accepted(1, "a", 1), wiped, started, marks(30)}, RulePromise},
+		{"lost with the disk at once", checkPromises, []Event{accepted(19, "a", 1), wiped, started, marks(30)}, ""},
+		{"lost with the disk while another was stopped", checkPromises, []Event{accepted(1, "a", 1), stopped, wiped, started, continued,
+			marks(30)}, ""},
+		{"lost after the disk was wiped", checkPromises, []Event{wiped, started, accepted(27, "a", 1), marks(30)}, RulePromise},
+		{"in time", checkInForce, []Event{start, accepted(10, "a", 1), seen(15, 0, "a", 1), marks(30, "a")}, ""},
+		{"late", checkInForce, []Event{start, accepted(10, "a", 1), seen(17, 0, "a", 1), marks(30, "a")}, RuleInForce},
+		{"late with a server stopped", checkInForce, []Event{start, accepted(10, "a", 1), lateStopped, lateContinued, seen(17, 0, "a", 1),
+			marks(30, "a")}, RuleInForce},
+		{"late with a region cut off", checkInForce, []Event{start, accepted(10, "a", 1), regionCut, regionBack, seen(17, 0, "a", 1),
+			marks(30, "a")}, ""},
+		{"never", checkInForce, []Event{start, accepted(10, "a", 1), marks(30, "a")}, RuleInForce},
+		{"late after all faults", checkInForce, []Event{{What: eventLate, Note: "n0"}}, RuleInForce},
+		{"refused after all faults", accept, []Event{{What: eventApply, Control: &ControlEvent{Outcome: string(configfeed.NotReady)}}},
+			RuleAccept},
+		{"a server that ended", checkControl, []Event{{What: eventServerDied, Control: &ControlEvent{Server: 1}}}, RuleServer},
+		{"a server that was ended", checkControl, []Event{{What: eventServerExit, Control: &ControlEvent{Server: 1}}}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			broken := c.check(s, c.events)
+			if c.rule == "" && len(broken) > 0 {
+				t.Errorf("broken: %v", broken)
+			}
+			if c.rule != "" && (len(broken) != 1 || broken[0].Rule != c.rule) {
+				t.Errorf("want %q broken, got %v", c.rule, broken)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rig/control_play_test.go
@@ -0,0 +1,133 @@
+package rig
+
+import (
+	"slices"
+	"testing"
+
+	"gorseledge/internal/configfeed"
+)
+
+// serverFaults is a course for five servers and four nodes: a server stopped, one killed, one put back to an older state
+// while it is cut off, a region cut off, a node restarted and one upgraded, all servers restarted.
+const serverFaults = `
+nodes = 4
+lasts = 22
+settle = 30
+period = 0.5
+flows = 2
+control = 5
+applies = 2
+in_force = 15
+
+[[control_fault]]
+at = 1
+kind = "stop"
+servers = [1]
+for = 3
+
+[[control_fault]]
+at = 2
+kind = "kill"
+servers = [3]
+for = 1
+
+[[fault]]
+at = 3
+kind = "restart"
+nodes = [1]
+for = 0.5
+
+[[control_fault]]
+at = 5
+kind = "cut"
+servers = [4]
+for = 3
+
+[[control_fault]]
+at = 6
+kind = "rollback"
+servers = [4]
+for = 0.5
+
+[[fault]]
+at = 7
+kind = "upgrade"
+nodes = [2]
+for = 2
+
+[[control_fault]]
+at = 9
+kind = "region"
+region = "south"
+for = 4
+
+[[control_fault]]
+at = 14
+kind = "restart"
+servers = [0, 1, 2, 3, 4]
+for = 1
+
+[[control_fault]]
+at = 17
+kind = "rollback"
+servers = [0]
+for = 0.5
+`
+
+func TestConfigurationIsInForceUnderServerFaults(t *testing.T) {
+	r := playWith(t, Options{Program: program, Control: serverProgram, Seed: 1}, serverFaults)
+	for _, b := range r.Breaks {
+		t.Error(b)
+	}
+	accepted, conflicts := 0, 0
+	for _, e := range r.Events {
+		if e.What != eventApply {
+			continue
+		}
+		switch configfeed.OutcomeKind(e.Control.Outcome) {
+		case configfeed.Accepted:
+			accepted++
+		case configfeed.Conflict:
+			conflicts++
+		}
+	}
+	if accepted < 5 || conflicts == 0 {
+		t.Errorf("%d changes were accepted, %d of two at once were in conflict", accepted, conflicts)
+	}
+}
+
+// onlyServerStopped is a course in which the only server of a node's region is stopped for longer than a change may take.
+const onlyServerStopped = `
+nodes = 3
+lasts = 14
+settle = 30
+period = 0.5
+flows = 2
+control = 5
+applies = 3
+in_force = 5
+
+[[control_fault]]
+at = 1
+kind = "stop"
+servers = [2]
+for = 12
+`
+
+func TestNodesThatStayWithAStoppedServerAreFoundOut(t *testing.T) {
+	late := func(b Break) bool { return b.Rule == RuleInForce }
+	t.Run("right core", func(t *testing.T) {
+		t.Parallel()
+		r := playWith(t, Options{Program: program, Control: serverProgram, Seed: 1}, onlyServerStopped)
+		if len(r.Breaks) > 0 || len(r.InForce) == 0 {
+			t.Errorf("broken: %v; %d changes were judged", r.Breaks, len(r.InForce))
+		}
+	})
+	t.Run("core that polls one server", func(t *testing.T) {
+		t.Parallel()
+		r := playWith(t, Options{Program: oneServer, Control: serverProgram, Seed: 1}, onlyServerStopped)
+		if !slices.ContainsFunc(r.Breaks, late) {
+			t.Errorf("it is not found out: %v", r.Breaks)
+		}
+	})
+}
--- a/internal/rig/play_test.go
+++ b/internal/rig/play_test.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// Built once for all tests: the node, and one with a core that gives nobody time to answer.
-var program, hasty string
+// Built once for all tests: the node, one with a core that gives nobody time to answer, one that polls one control server
+// only, and the control server.
+var program, hasty, oneServer, serverProgram string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "rig")
@@ -19,33 +20,48 @@
 		panic(err)
 	}
 	program, hasty = filepath.Join(dir, "gorseledge"), filepath.Join(dir, "hasty")
+	serverProgram = filepath.Join(dir, "gorsecontrol")
+	oneServer = filepath.Join(dir, "oneserver")
 	code := 1
-	if compile(program, "-race") && compile(hasty, "-tags=hasty") {
+	if compile(program, nodeCommand, "-race") && compile(hasty, nodeCommand, "-tags=hasty") &&
+		compile(serverProgram, serverCommand, "-race") && compile(oneServer, nodeCommand, "-tags=oneserver") {
 		code = m.Run()
 	}
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
 
-func compile(to string, flags ...string) bool {
-	c := exec.Command("go", append(append([]string{"build"}, flags...), "-o", to, "gorseledge/cmd/gorseledge")...)
+const (
+	nodeCommand   = "gorseledge/cmd/gorseledge"
+	serverCommand = "gorseledge/cmd/gorsecontrol"
+)
+
+func compile(to, command string, flags ...string) bool {
+	c := exec.Command("go", append(append([]string{"build"}, flags...), "-o", to, command)...)
 	c.Stderr = os.Stderr
 	return c.Run() == nil
 }
 
 // play plays a script's text and fails where a node's log tells of a race, or a process is left.
 func play(t *testing.T, program, text string, seed uint64) *Result {
+	t.Helper()
+	return playWith(t, Options{Program: program, Seed: seed}, text)
+}
+
+// playWith is play with a control server too.
+func playWith(t *testing.T, o Options, text string) *Result {
 	t.Helper()
 	s, err := Read("script", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
-	r, err := Play(t.Context(), s, Options{Program: program, Seed: seed, Dir: dir, History: filepath.Join(dir, "history.jsonl")})
+	o.Dir, o.History = dir, filepath.Join(dir, "history.jsonl")
+	r, err := Play(t.Context(), s, o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	logs, _ := filepath.Glob(filepath.Join(dir, "n*", "log"))
+	logs, _ := filepath.Glob(filepath.Join(dir, "[nc]*", "log"))
 	for _, log := range logs {
 		if body, _ := os.ReadFile(log); strings.Contains(string(body), "DATA RACE") || strings.Contains(string(body), "panic:") {
 			t.Errorf("%s:\n%s", log, body)
