--- a/cmd/gorsecontrol/checklog.go
+++ b/cmd/gorsecontrol/checklog.go
@@ -17,21 +17,31 @@
 )
 
 const (
-	checkLogName    = "check-log"
-	checkLogTimeout = 30 * time.Second
-	checkLogStack   = 64 << 20 // bytes; a damaged file can send the library round in circles
+	checkLogHereName = "check-log-here"
+	checkLogTimeout  = 30 * time.Second
+	checkLogStack    = 64 << 20 // bytes; a damaged file can send the library round in circles
 )
 
 func checkLogCommand() *cobra.Command {
-	return &cobra.Command{Use: checkLogName + " DIRECTORY", Short: "Check the log of a server that does not run, or a copy of it",
+	return &cobra.Command{Use: "check-log DIRECTORY", Short: "Check the log of a server that does not run, or a copy of it",
 		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := checkLog(cmd.Context(), args[0]); err != nil {
+				return &refusedError{cause: err}
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "good")
+			return nil
+		}}
+}
+
+// checkLogHereCommand checks a log in this process, for checkLog.
+func checkLogHereCommand() *cobra.Command {
+	return &cobra.Command{Use: checkLogHereName + " DIRECTORY", Hidden: true, Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			debug.SetMaxStack(checkLogStack)
-			debug.SetTraceback("none")
 			if err := feedstore.Check(args[0]); err != nil {
 				return &refusedError{cause: err}
 			}
-			fmt.Fprintln(cmd.OutOrStdout(), "good")
 			return nil
 		}}
 }
@@ -44,7 +54,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkLogTimeout)
 	defer cancel()
-	check := exec.CommandContext(ctx, program, checkLogName, directory)
+	check := exec.CommandContext(ctx, program, checkLogHereName, directory)
 	var said bytes.Buffer
 	check.Stderr = &said
 	err = check.Run()
--- /dev/null
+++ b/cmd/gorsecontrol/commands_test.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gorseledge/internal/configfeed/feedhttp"
+)
+
+func TestApplyRevertAndNewEpoch(t *testing.T) {
+	servers := newServers(t, 3)
+	for _, s := range servers {
+		s.start()
+	}
+	s := servers[1] // any server's control file does: commands go to the writer
+	s.untilReady()
+	s.apply("0", 1)
+	s.apply("1", 2)
+	for _, c := range []struct {
+		arguments []string
+		code      int
+		out, says string
+	}{
+		{[]string{"apply", document(t, "nodes = 3\n"), "--if-revision", "1"}, exitRefused, "", "conflict: the newest revision is 2 of epoch 1"},
+		{[]string{"apply", document(t, "nodes = 3\n"), "--if-revision", "7.2"}, exitRefused, "", "conflict"},
+		{[]string{"apply", document(t, "nodes = 2\n"), "--if-revision", "2"}, 0, "no change", ""},
+		{[]string{"revert", "1", "--note", "the second was wrong"}, 0, "revision 3 of epoch 1", ""},
+		{[]string{"revert", "9"}, exitRefused, "", "does not reach revision 9"},
+		{[]string{"revert", "0"}, exitRefused, "", "does not reach revision 0"},
+		{[]string{"revert", "one"}, exitBadInput, "", `"one" is no revision`},
+		{[]string{"new-epoch"}, 0, "revision 1 of epoch 2", ""},
+		{[]string{"revert", "2"}, exitRefused, "", "does not reach revision 2 of epoch 2"},
+	} {
+		r := s.command(c.arguments...)
+		if c.code == 0 && (r.code != 0 || !strings.Contains(r.out, c.out)) || c.code != 0 && !r.oneLine(c.code, c.says) {
+			t.Errorf("%v: %+v", c.arguments, r)
+		}
+	}
+	r := s.command("history", "--json")
+	var history feedhttp.HistoryAnswer
+	if err := json.Unmarshal([]byte(r.out), &history); err != nil || len(history.Revisions) != 4 {
+		t.Fatalf("%v, %+v", err, r)
+	}
+	reverted := history.Revisions[2]
+	if reverted.Note != "the second was wrong" || len(reverted.Delta.Set) != 1 || reverted.Delta.Set[0].Value != "1" {
+		t.Errorf("%+v", reverted)
+	}
+	if r := s.command("history", "--values"); r.code != 0 || !strings.Contains(r.out, "nodes = 2") || !strings.Contains(r.out, "the second was wrong") {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestStatusNamesAServerThatDoesNotAnswer(t *testing.T) {
+	servers := newServers(t, 3)
+	for _, s := range servers {
+		s.start()
+	}
+	servers[0].untilReady()
+	if r := servers[0].command("status"); r.code != 0 || strings.Count(r.out, "follows") != 2 {
+		t.Errorf("%+v", r)
+	}
+	servers[2].end(syscall.SIGTERM)
+	if r := servers[0].command("status"); !r.oneLine(exitRefused, "1 of 3 servers") || !strings.Contains(r.out, "no answer") {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestBadInputIsOneLineAndExitCode2(t *testing.T) {
+	s := newServers(t, 1)[0] // does not run: nothing of this gets as far as a call
+	broken := filepath.Join(t.TempDir(), "control.toml")
+	if err := os.WriteFile(broken, []byte("fleet = \"lima\"\nname = 3\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	live := document(t, "nodes = 1\n")
+	for _, c := range []struct {
+		arguments []string
+		says      string
+	}{
+		{[]string{"check", broken}, broken + ":2:"},
+		{[]string{"serve", broken}, broken + ":2:"},
+		{[]string{"status", "--control", broken}, broken + ":2:"},
+		{[]string{"status", "--control", ""}, "no control file"},
+		{[]string{"check", broken + ".none"}, broken + ".none"},
+		{[]string{"apply", live, "--control", s.file}, "if-revision"},
+		{[]string{"apply", live, "--if-revision", "x", "--control", s.file}, `"x" is no revision`},
+		{[]string{"apply", live + ".none", "--if-revision", "1", "--control", s.file}, live + ".none"},
+		{[]string{"apply", document(t, "\nnodes = -1\n"), "--if-revision", "1", "--control", s.file}, ":2:"},
+		{[]string{"apply", document(t, "listen = \"127.0.0.1:1\"\n"), "--if-revision", "1", "--control", s.file}, "needs a restart"},
+		{[]string{"frobnicate"}, "frobnicate"},
+	} {
+		if r := run(t, c.arguments...); !r.oneLine(exitBadInput, c.says) {
+			t.Errorf("%v: %+v", c.arguments, r)
+		}
+	}
+	if r := run(t, "check", s.file); r.code != 0 || r.out != "good\n" {
+		t.Errorf("%+v", r)
+	}
+	if r := s.command("history"); !r.oneLine(exitRefused, "server c1") {
+		t.Errorf("a server that does not run: %+v", r)
+	}
+}
--- a/cmd/gorsecontrol/main.go
+++ b/cmd/gorsecontrol/main.go
@@ -115,7 +115,8 @@
 		SilenceUsage: true, SilenceErrors: true}
 	top.PersistentFlags().StringVar(&s.path, "control", os.Getenv(controlFileVariable),
 		"the control file, of any server ("+controlFileVariable+")")
-	top.AddCommand(serveCommand(), checkCommand(), checkLogCommand(), applyCommand(s), revertCommand(s), newEpochCommand(s), statusCommand(s),
+	top.AddCommand(serveCommand(), checkCommand(), checkLogCommand(), checkLogHereCommand(),
+		applyCommand(s), revertCommand(s), newEpochCommand(s), statusCommand(s),
 		historyCommand(s))
 	return top
 }
--- /dev/null
+++ b/cmd/gorsecontrol/main_test.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gorseledge/internal/configfeed/controlfile"
+	"gorseledge/internal/configfeed/feedhttp"
+)
+
+const patience = 30 * time.Second // for what has to come in the end
+
+var program string
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "gorsecontrol")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(directory, "gorsecontrol")
+	build := exec.Command("go", "build", "-race", "-o", program, ".")
+	build.Stderr = os.Stderr
+	os.Setenv("GORACE", "atexit_sleep_ms=0") // for the processes: by default each waits a second at its end
+	code := 1
+	if build.Run() == nil {
+		code = m.Run()
+	}
+	os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// output collects what a process writes.
+type output struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// server is one control server of a test, as a process.
+type server struct {
+	t       *testing.T
+	name    string
+	file    string // the control file
+	config  controlfile.Config
+	process *exec.Cmd
+	log     *output
+}
+
+// newServers lays out control files of that many servers; the first one is the writer.
+func newServers(t *testing.T, count int) []*server {
+	t.Helper()
+	directory := t.TempDir()
+	var tables strings.Builder
+	for i := range count {
+		fmt.Fprintf(&tables, "\n[[server]]\nname = \"c%d\"\naddress = %q\nregion = \"r%d\"\n", i+1, freeAddress(t, i+1), i+1)
+	}
+	var servers []*server
+	for i := range count {
+		name := fmt.Sprint("c", i+1)
+		s := &server{t: t, name: name, file: filepath.Join(directory, name+".toml")}
+		head := fmt.Sprintf("fleet = \"lima\"\nname = %q\nkey = \"00112233445566778899aabbccddeeff\"\ndirectory = %q\nwriter = \"c1\"\n",
+			name, filepath.Join(directory, name))
+		if err := os.WriteFile(s.file, []byte(head+tables.String()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var err error
+		if s.config, err = controlfile.Read(s.file); err != nil {
+			t.Fatal(err)
+		}
+		servers = append(servers, s)
+	}
+	return servers
+}
+
+// freeAddress gives an address that nobody listens at.
+func freeAddress(t *testing.T, number int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.8.%d.%d:0", os.Getpid()%250, number))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start starts the process and waits until it serves.
+func (s *server) start() {
+	s.t.Helper()
+	s.log = &output{}
+	s.process = exec.Command(program, "serve", s.file)
+	s.process.Stderr = s.log
+	if err := s.process.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	process := s.process
+	s.t.Cleanup(func() {
+		process.Process.Kill()
+		process.Wait()
+	})
+	s.logs(`"message":"serves"`)
+}
+
+// logs waits until the log has a text.
+func (s *server) logs(text string) {
+	s.t.Helper()
+	eventually(s.t, s.name+" logs "+text, func() bool { return strings.Contains(s.log.String(), text) })
+}
+
+// end sends a signal and waits for the process to end; it gives the exit code, -1 for one that was killed.
+func (s *server) end(signal syscall.Signal) int {
+	s.t.Helper()
+	s.process.Process.Signal(signal)
+	s.process.Wait()
+	return s.process.ProcessState.ExitCode()
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// result is how a command ended.
+type result struct {
+	code        int
+	out, errors string
+}
+
+// command runs the program with a server's control file.
+func (s *server) command(arguments ...string) result {
+	s.t.Helper()
+	return run(s.t, append(arguments, "--control", s.file)...)
+}
+
+func run(t *testing.T, arguments ...string) result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	c := exec.CommandContext(ctx, program, arguments...)
+	var out, errs output
+	c.Stdout, c.Stderr = &out, &errs
+	err := c.Run()
+	if exit := (*exec.ExitError)(nil); err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return result{code: c.ProcessState.ExitCode(), out: out.String(), errors: errs.String()}
+}
+
+// oneLine tells whether a command ended with one line of error that says something.
+func (r result) oneLine(code int, says string) bool {
+	return r.code == code && strings.HasPrefix(r.errors, errorPrefix) && strings.Count(r.errors, "\n") == 1 && strings.Contains(r.errors, says)
+}
+
+// document writes a live configuration and gives its path.
+func document(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "live.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// apply applies a number of nodes and wants a success.
+func (s *server) apply(expected string, nodes int) {
+	s.t.Helper()
+	r := s.command("apply", document(s.t, fmt.Sprintf("nodes = %d\n", nodes)), "--if-revision", expected)
+	if r.code != 0 {
+		s.t.Fatalf("%+v", r)
+	}
+}
+
+// untilReady waits until the writer takes proposals.
+func (s *server) untilReady() {
+	s.t.Helper()
+	eventually(s.t, "the writer takes proposals", func() bool {
+		status := s.status()
+		return status.Servers[0].Error == "" && status.Servers[0].NotReady == ""
+	})
+}
+
+// status asks for the status of all servers.
+func (s *server) status() fleetStatus {
+	s.t.Helper()
+	var status fleetStatus
+	r := s.command("status", "--json")
+	if err := json.Unmarshal([]byte(r.out), &status); err != nil {
+		s.t.Fatalf("%v: %+v", err, r)
+	}
+	return status
+}
+
+// client gives a client of the fleet.
+func (s *server) client() *feedhttp.Client {
+	c := feedhttp.NewClient(s.config.Fleet, s.config.Keys, nil)
+	s.t.Cleanup(c.Close)
+	return c
+}
+
+// address is where the server is reached.
+func (s *server) address() string {
+	own, _ := s.config.Server(s.name)
+	return own.Address
+}
--- a/cmd/gorsecontrol/serve.go
+++ b/cmd/gorsecontrol/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"runtime"
@@ -24,6 +25,9 @@
 	logPollInterval = 10 * time.Millisecond
 )
 
+// keepOpen hides that a writer can be closed: the log's end is not that of standard error.
+type keepOpen struct{ io.Writer }
+
 func serveCommand() *cobra.Command {
 	return &cobra.Command{Use: "serve FILE", Short: "Run the control server of a control file", Args: cobra.ExactArgs(1),
 		Long: "Runs until SIGTERM. The log goes to standard error, one JSON object a line.",
@@ -34,7 +38,7 @@
 			}
 			runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), maxProcessors))
 			// Guards against a slow reader of the log holding the server up: lines are dropped first.
-			out := diode.NewWriter(os.Stderr, logBufferLines, logPollInterval, nil)
+			out := diode.NewWriter(keepOpen{os.Stderr}, logBufferLines, logPollInterval, nil)
 			defer out.Close()
 			log := zerolog.New(out).With().Timestamp().Str("server", config.Name).Logger()
 			if err := serve(cmd.Context(), config, log); err != nil {
--- a/internal/configfeed/feedstore/check.go
+++ b/internal/configfeed/feedstore/check.go
@@ -1,6 +1,7 @@
 package feedstore
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -37,10 +38,36 @@
 		return err
 	}
 	return db.View(func(tx *bbolt.Tx) error {
-		for err := range tx.Check() {
-			// The library goes on with all that it finds; there is nothing to wait for.
-			return fmt.Errorf("the file is damaged: %w", err)
+		if err := checkPages(tx); err != nil {
+			return err
+		}
+		var first error
+		for err := range tx.Check() { // to its end: until then it reads the file
+			first = cmp.Or(first, err)
+		}
+		if first != nil {
+			return fmt.Errorf("the file is damaged: %w", first)
 		}
 		return checkRecords(tx)
 	})
 }
+
+const firstDataPage = 2 // after the two heads
+
+// checkPages guards against a page that claims to reach beyond the file: the library would count billions of pages.
+func checkPages(tx *bbolt.Tx) error {
+	for id := firstDataPage; ; id++ {
+		page, err := tx.Page(id)
+		if page == nil || err != nil {
+			return err
+		}
+		if page.Type == "free" { // what is left in it means nothing
+			continue
+		}
+		last := id + page.OverflowCount
+		if beyond, _ := tx.Page(last); beyond == nil {
+			return fmt.Errorf("the file is damaged: page %d reaches to page %d", id, last)
+		}
+		id = last
+	}
+}
