--- /dev/null
+++ b/internal/rig/setup.go
@@ -0,0 +1,179 @@
+package rig
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"gorseledge/internal/discovery/roster"
+	"gorseledge/internal/fleet"
+	"gorseledge/internal/rig/standin"
+)
+
+// start starts the stand-ins, the relays and the nodes.
+func (r *Rig) start() (err error) {
+	if r.hosts, err = standin.StartHosts(r.script.Hosts); err != nil {
+		return err
+	}
+	r.roster = standin.StartDiscovery()
+	r.roster.Tell(r.hosts.List(1))
+	for i := range r.script.Nodes {
+		n := &node{rig: r, i: i, dir: filepath.Join(r.Dir, fmt.Sprintf("n%d", i))}
+		for _, at := range []*string{&n.client, &n.admin, &n.fleet} {
+			if *at, err = free(i); err != nil {
+				return err
+			}
+		}
+		r.nodes = append(r.nodes, n)
+	}
+	for i := range r.nodes {
+		for k := range r.nodes {
+			if i != k {
+				if r.relays[[2]int{i, k}], err = newRelay(r.nodes[k].fleet, r.Seed*1000+uint64(i*100+k)); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	for _, n := range r.nodes {
+		if err := r.writeNodeFiles(n); err != nil {
+			return err
+		}
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// free returns an address of node i whose port is free for both TCP and UDP.
+func free(i int) (string, error) {
+	host := fmt.Sprintf("127.0.%d.%d", 1+i/200, 1+i%200)
+	for range 50 {
+		ln, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return "", err
+		}
+		at := ln.Addr().String()
+		c, err := net.ListenPacket("udp", at)
+		ln.Close()
+		if err == nil {
+			c.Close()
+			return at, nil
+		}
+	}
+	return "", errors.New("no free address")
+}
+
+// writeNodeFiles writes a node's directory: its config and its fleet file.
+func (r *Rig) writeNodeFiles(n *node) error {
+	if err := os.MkdirAll(n.dir, 0o755); err != nil {
+		return err
+	}
+	file := fleet.Config{Fleet: fmt.Sprintf("rig-%d", r.Seed), Address: n.fleet, Period: r.script.Period,
+		Key: hex.EncodeToString([]byte("a key of the rig, for its own nodes")), Via: map[string]string{}}
+	if r.script.Zones > 0 {
+		file.Zone = string(rune('a' + n.i%r.script.Zones))
+	}
+	for k, other := range r.nodes {
+		if k < 3 {
+			file.Join = append(file.Join, other.fleet)
+		}
+		if k != n.i {
+			file.Via[other.fleet] = r.relays[[2]int{n.i, k}].address()
+		}
+	}
+	text, err := toml.Marshal(file)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(n.dir, "fleet.toml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	text, err = json.Marshal(config(n, r.roster.Address(), path, r.Seed*31+uint64(n.i), len(r.nodes)))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(n.dir, "config.json"), text, 0o600)
+}
+
+// nodeConfig is the config file of a node.
+type nodeConfig struct {
+	Name      string       `json:"name"`
+	Listen    string       `json:"listen"`
+	Discovery string       `json:"discovery"`
+	Admin     string       `json:"admin_addr,omitempty"`
+	Fleet     string       `json:"fleet,omitempty"` // path of the fleet file
+	Seed      string       `json:"seed"`            // hexadecimal
+	Limits    nodeLimits   `json:"limits"`
+	Known     *roster.List `json:"known"` // hosts that the node has known for long
+	Settings  nodeSettings `json:"settings"`
+}
+
+// nodeLimits are the resources that a node is told it has.
+type nodeLimits struct {
+	Cores    int `json:"cores"`
+	MemoryMB int `json:"memory_mb"`
+	Sockets  int `json:"sockets"`
+}
+
+// nodeSettings are the settings of a node's decisions. Times are microseconds.
+type nodeSettings struct {
+	Family       familyInfo     `json:"family_info"`
+	Granularity  int            `json:"granularity_us"`
+	Siblings     int            `json:"siblings"` // nodes of the fleet
+	Zones        []string       `json:"zones"`
+	Limits       settingsLimits `json:"limits"`
+	ServiceTypes []serviceType  `json:"service_types"`
+}
+
+type familyInfo struct {
+	Mode string `json:"mode"`
+}
+
+type settingsLimits struct {
+	DialTimeout   int  `json:"dial_timeout_us"`
+	MaxConnects   int  `json:"max_connects"`
+	MaxRetryAfter int  `json:"max_retry_after_us"`
+	RetryAfter    bool `json:"retry_after"`
+}
+
+type serviceType struct {
+	Name   string `json:"name"`
+	Effect string `json:"effect"`
+	GiveUp int    `json:"give_up_us"`
+}
+
+// config returns the config of a node in a fleet of so many nodes. fleetFile is the path of its fleet file, empty for a
+// node without a fleet.
+func config(n *node, discovery, fleetFile string, seed uint64, nodes int) nodeConfig {
+	return nodeConfig{
+		Name:      n.name(),
+		Listen:    n.client,
+		Discovery: discovery,
+		Admin:     n.admin,
+		Fleet:     fleetFile,
+		Seed:      fmt.Sprintf("%016x", seed),
+		Limits:    nodeLimits{Cores: 1, MemoryMB: 128, Sockets: 512},
+		Settings: nodeSettings{
+			Family:      familyInfo{Mode: "proxy"},
+			Granularity: 4000,
+			Siblings:    nodes,
+			Zones:       []string{"a"},
+			Limits: settingsLimits{
+				DialTimeout:   1000000,
+				MaxConnects:   3,
+				MaxRetryAfter: 2000000,
+				RetryAfter:    true,
+			},
+			ServiceTypes: []serviceType{{Name: "chat", Effect: "repeatable", GiveUp: 2000000}},
+		},
+	}
+}
