--- /dev/null
+++ b/internal/livesettings/documented_test.go
@@ -0,0 +1,40 @@
+package livesettings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// The page for operators has a row with the unit and the range of each key, and of no other.
+func TestKeysAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operating.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, found := strings.Cut(string(page), "## Live settings\n")
+	section, _, _ = strings.Cut(section, "\n## ")
+	if !found {
+		t.Fatal("the page has no such section")
+	}
+	rows := 0
+	for _, line := range strings.Split(section, "\n") {
+		if strings.HasPrefix(line, "| `") && strings.Count(line, " | ") == 3 {
+			rows++
+		}
+	}
+	if rows != len(keys) {
+		t.Errorf("%d rows, %d keys", rows, len(keys))
+	}
+	for _, k := range keys {
+		name := strings.NewReplacer("hosts.*", "hosts.ID", "*", "NAME").Replace(k.pattern)
+		row := fmt.Sprintf("| `%s` | %s | %s to %s", name, k.unit, plain(k.low), plain(k.high))
+		if k.setText != nil {
+			row = fmt.Sprintf("| `%s` | host:port | port 1 to %d", name, MaxPort)
+		}
+		if !strings.Contains(section, row) {
+			t.Errorf("no row %q", row)
+		}
+	}
+}
