An operator who puts a host back is told where the live settings still disable it

Cause: the answer to enable was a plain yes for a host that stays out by the live settings.

Change: the answer says so. Discovery that the live settings move is followed by a test with a real process, also where the config is read again meanwhile. A document of live settings is 4 MB at the most.

Measured: go test of internal/node, internal/admin, internal/livesettings and the new test in cmd/gorseledge pass.

--- a/cmd/gorseledge/configuration_test.go
+++ b/cmd/gorseledge/configuration_test.go
@@ -20,6 +20,7 @@
 
 	"gorseledge/internal/configfeed"
 	"gorseledge/internal/configfeed/feedhttp"
+	"gorseledge/internal/discovery/roster"
 	"gorseledge/internal/fleet/view"
 	"gorseledge/internal/livesettings"
 )
@@ -328,3 +329,42 @@
 		<-ended
 	}
 }
+
+// Discovery is followed where the live settings say, whatever a config that is read again says, and where the config
+// says once they say nothing.
+func TestConfigurationMovesDiscovery(t *testing.T) {
+	c := startControl(t)
+	s := followed(t, c.address, "")
+	elsewhere, third := discovery(t), discovery(t)
+	list := roster.List{Index: 1, Whole: true, Hosts: []roster.Host{{Name: "s-00000066", Address: s.hosts[2].Addr().String(),
+		Zone: "a", Status: "SERVING", Weight: 1}}}
+	elsewhere.Tell(list)
+	third.Tell(roster.List{Index: 1, Whole: true})
+	s.inForce(c.apply(fmt.Sprintf("discovery = %q", elsewhere.Address())))
+	s.metric("lb.targets:1|g\n")
+	s.config["discovery"] = third.Address()
+	s.configure()
+	s.signal(syscall.SIGHUP)
+	s.logged("discovery stays where the live settings say")
+	if told := s.told(20); told["UP 2"] != 20 {
+		t.Errorf("clients were told %v", told)
+	}
+	s.inForce(c.apply(""))
+	s.metric("lb.targets:0|g\n")
+	third.Tell(roster.List{Index: 2, Whole: true, Hosts: list.Hosts})
+	s.metric("lb.targets:1|g\n")
+}
+
+// metric waits until the figures have a line.
+func (s *stage) metric(line string) {
+	s.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		code, body := s.call("GET", "/-/metrics")
+		if code == 200 && strings.Contains(body, line) {
+			return
+		}
+		if time.Now().After(end) {
+			s.Fatalf("wanted %q: %d %s", line, code, body)
+		}
+	}
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -48,6 +48,10 @@
 				http.Error(w, why, no)
 				return
 			}
+			if a.StillOut {
+				fmt.Fprintln(w, "yes, and the live settings still disable it")
+				return
+			}
 			fmt.Fprintln(w, "yes")
 		}
 	}
--- a/internal/livesettings/livesettings.go
+++ b/internal/livesettings/livesettings.go
@@ -21,6 +21,9 @@
 	"gorseledge/internal/strict"
 )
 
+// MaxDocumentBytes bounds a document, with its comments.
+const MaxDocumentBytes = 4 << 20
+
 // Settings are the document's figures with their types.
 type Settings = live.Settings
 
@@ -37,6 +40,9 @@
 // Parse reads a document to entries, sorted by key. What is refused is an error of one line with the path, the line, the
 // key and the reason: that of the first line at fault.
 func Parse(path string, text []byte) ([]configfeed.Entry, error) {
+	if len(text) > MaxDocumentBytes {
+		return nil, fmt.Errorf("%s:1: %d bytes, and %d do", path, len(text), MaxDocumentBytes)
+	}
 	leaves, err := strict.Leaves(path, text)
 	if err != nil {
 		return nil, err
--- a/internal/livesettings/livesettings_test.go
+++ b/internal/livesettings/livesettings_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -200,6 +201,21 @@
 	}
 }
 
+func TestDocumentTooLong(t *testing.T) {
+	_, err := Parse("live.toml", []byte(strings.Repeat("# a comment\n", MaxDocumentBytes/12+1)))
+	if err == nil || err.Error() != "live.toml:1: 4194312 bytes, and 4194304 do" {
+		t.Error(err)
+	}
+	var text strings.Builder
+	for i := range 30_000 {
+		text.WriteString("[hosts." + strings.Repeat("h", 20) + strconv.Itoa(i) + "]\ndisabled_until_s = 1764650000\n")
+	}
+	_, err = Parse("live.toml", []byte(text.String()))
+	if err == nil || !strings.Contains(err.Error(), "bytes of keys and values, and 1048576 do") {
+		t.Error(err)
+	}
+}
+
 // A document of ten thousand hosts fits: no list ends at a thousand.
 func TestManyHosts(t *testing.T) {
 	var text strings.Builder
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -180,9 +180,10 @@
 	Exit struct{}
 	// Answer is the answer to what was Asked: no for a node that is not ready or a host that is not known.
 	Answer struct {
-		Yes     bool
-		Figures Figures // of HowMany
-		Legacy  *Legacy // of Claim and Take
+		Yes      bool
+		StillOut bool    // of PutBack: the live settings disable the host
+		Figures  Figures // of HowMany
+		Legacy   *Legacy // of Claim and Take
 	}
 	// Halt ends the read under way with what it has, if anything.
 	Halt struct{ Conn Conn }
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -14,6 +14,7 @@
 		if a.Yes = n.byHand(q.Host, q.What == TakeOut); n.shut {
 			n.calls = append(n.calls, q)
 		}
+		a.StillOut = q.What == PutBack && n.overridden(q.Host)
 	case Claim:
 		n.paired, n.heldTold = true, 0
 		a.Legacy = n.legacy()
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -356,7 +356,11 @@
 		{"both, settings expire", []func(*world){set(1, entry), byHand(TakeOut), later}, 1},
 		{"both, both back", []func(*world){byHand(TakeOut), set(1, entry), byHand(PutBack), set(2, "")}, 0},
 		{"both, back by hand, settings expire", []func(*world){byHand(TakeOut), set(1, entry), byHand(PutBack), later}, 0},
-		{"by settings, put back by hand though not out by hand", []func(*world){set(1, entry), byHand(PutBack)}, 1},
+		{"by settings, put back by hand though not out by hand", []func(*world){set(1, entry), func(w *world) {
+			if a := w.asks(PutBack, name); !a.Yes || !a.StillOut {
+				w.Errorf("told %+v", a)
+			}
+		}}, 1},
 		{"by settings, a new list", []func(*world){set(1, entry), func(w *world) { w.do(Listed{hostList(4)}) }}, 1},
 		{"by settings that expired before", []func(*world){set(1, "hosts.s-00000064.disabled_until_s = 999999999")}, 0},
 		{"by settings for longer", []func(*world){set(1, entry), set(2, "hosts.s-00000064.disabled_until_s = 1000000020"), later}, 1},
