A node links no control server's log; what one server costs with 172 nodes

feedhttp took an error from the store's package, so every node linked bbolt. The error is configfeed's now, and TestShipped refuses bbolt in a node with and without the tag alone; TestAlone names it as well.

--- /dev/null
+++ b/cmd/gorsecontrol/cost_test.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gorseledge/internal/configfeed"
+	"gorseledge/internal/configfeed/feedhttp"
+)
+
+const (
+	shareOfNodes    = 172 // that follow one of five servers
+	measuredSeconds = 20
+	ticksPerSecond  = 100 // of the processor times in /proc
+)
+
+// usage is what a process has used of the machine.
+type usage struct {
+	processor float64 // seconds
+	resident  int     // kB
+}
+
+func usageOf(b *testing.B, pid int) (u usage) {
+	b.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	u.processor = (user + system) / ticksPerSecond
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(status), "VmRSS:")
+	u.resident, _ = strconv.Atoi(strings.Fields(rest)[0])
+	return u
+}
+
+// BenchmarkServerWithItsShareOfNodes measures one server, built as operators build it, with 172 nodes that poll it every
+// 2 s, idle and with one change a second.
+func BenchmarkServerWithItsShareOfNodes(b *testing.B) {
+	plain := filepath.Join(b.TempDir(), "gorsecontrol")
+	if out, err := exec.Command("go", "build", "-o", plain, ".").CombinedOutput(); err != nil {
+		b.Fatalf("%v\n%s", err, out)
+	}
+	for _, changes := range []int{0, measuredSeconds} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
+			for range b.N {
+				measureServer(b, plain, changes)
+			}
+		})
+	}
+}
+
+func measureServer(b *testing.B, plain string, changes int) {
+	was := program
+	program = plain
+	defer func() { program = was }()
+	s := newServers(b, 1)[0]
+	s.start()
+	s.untilReady()
+	ctx, cancel := context.WithCancel(b.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	var nodes []*feedhttp.Follower
+	for i := range shareOfNodes {
+		config := configfeed.FollowerConfig{Name: fmt.Sprint("n", i), Region: "r1", Seed: uint64(i), Wait: 2,
+			Servers: []configfeed.ServerAddress{{Name: "c1", Address: s.address(), Region: "r1"}}}
+		node := feedhttp.NewFollower(feedhttp.FollowerOptions{Fleet: s.config.Fleet, Keys: s.config.Keys, Config: config,
+			Log: zerolog.Nop(), Install: func(configfeed.State, []string) error { return nil }})
+		nodes = append(nodes, node)
+		running.Go(func() { node.Run(ctx) })
+	}
+	eventually(b, "all nodes poll", func() bool { return s.status().Nodes == shareOfNodes })
+	before, traffic, began := usageOf(b, s.process.Process.Pid), trafficOf(nodes), time.Now()
+	client := s.client()
+	for i := range changes {
+		expected := configfeed.Version{Epoch: uint64(min(i, 1)), Revision: uint64(i)}
+		if _, err := client.Apply(ctx, s.address(), configfeed.Proposal{ID: feedhttp.NewProposalID(), IfVersion: expected,
+			Entries: []configfeed.Entry{{Key: "nodes", Value: strconv.Itoa(i + 1)}}, Author: "test"}); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(time.Until(began.Add(measuredSeconds * time.Second)))
+	seconds := time.Since(began).Seconds()
+	after, moved := usageOf(b, s.process.Process.Pid), trafficOf(nodes)
+	b.ReportMetric((after.processor-before.processor)/seconds*100, "%core")
+	b.ReportMetric(float64(after.resident)/1024, "MB")
+	b.ReportMetric(float64(moved.Requests-traffic.Requests)/seconds, "polls/s")
+	b.ReportMetric(float64(moved.BytesSent+moved.BytesReceived-traffic.BytesSent-traffic.BytesReceived)/seconds/shareOfNodes, "B/s/node")
+}
+
+func trafficOf(nodes []*feedhttp.Follower) (sum feedhttp.Traffic) {
+	for _, node := range nodes {
+		t := node.Traffic()
+		sum.Requests += t.Requests
+		sum.BytesSent += t.BytesSent
+		sum.BytesReceived += t.BytesReceived
+	}
+	return sum
+}
--- a/cmd/gorsecontrol/main_test.go
+++ b/cmd/gorsecontrol/main_test.go
@@ -60,7 +60,7 @@
 
 // server is one control server of a test, as a process.
 type server struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	file    string // the control file
 	config  controlfile.Config
@@ -69,7 +69,7 @@
 }
 
 // newServers lays out control files of that many servers; the first one is the writer.
-func newServers(t *testing.T, count int) []*server {
+func newServers(t testing.TB, count int) []*server {
 	t.Helper()
 	directory := t.TempDir()
 	var tables strings.Builder
@@ -95,7 +95,7 @@
 }
 
 // freeAddress gives an address that nobody listens at.
-func freeAddress(t *testing.T, number int) string {
+func freeAddress(t testing.TB, number int) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.8.%d.%d:0", os.Getpid()%250, number))
 	if err != nil {
@@ -136,7 +136,7 @@
 	return s.process.ProcessState.ExitCode()
 }
 
-func eventually(t *testing.T, what string, holds func() bool) {
+func eventually(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); !holds(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -157,7 +157,7 @@
 	return run(s.t, append(arguments, "--control", s.file)...)
 }
 
-func run(t *testing.T, arguments ...string) result {
+func run(t testing.TB, arguments ...string) result {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
@@ -177,7 +177,7 @@
 }
 
 // document writes a live configuration and gives its path.
-func document(t *testing.T, text string) string {
+func document(t testing.TB, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "live.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/cmd/gorseledge/alone_test.go
+++ b/cmd/gorseledge/alone_test.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, lib := range []string{"protobuf", "membership", "internal/fleet\n", "configfeed", "livesettings", "internal/strict", "go-toml"} {
+	for _, lib := range []string{"protobuf", "membership", "internal/fleet\n", "configfeed", "bbolt", "livesettings", "internal/strict", "go-toml"} {
 		if strings.Contains(string(deps), lib) {
 			t.Errorf("it links %s", lib)
 		}
--- a/internal/checkout/checkout_test.go
+++ b/internal/checkout/checkout_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// The programs that are shipped link nothing that only tests need, nor the instruments. Guards against a stand-in, or
-// the testing package with its flags, in a node.
+// The programs that are shipped link nothing that only tests need, nor the instruments, nor a control server's log.
+// Guards against a stand-in, or the testing package with its flags, in a node.
 func TestShipped(t *testing.T) {
 	for _, tags := range []string{"", "alone"} {
 		list := exec.Command("go", "list", "-deps", "-tags", tags, "./cmd/gorseledge", "./cmd/benchlink")
@@ -61,7 +61,7 @@
 		}
 		for _, dep := range deps {
 			first, _, _ := strings.Cut(strings.TrimPrefix(dep, "gorseledge/internal/"), "/")
-			if dep == "testing" || strings.HasSuffix(dep, "test") && strings.HasPrefix(dep, "gorseledge/") ||
+			if dep == "testing" || strings.HasPrefix(dep, "go.etcd.io/bbolt") || strings.HasSuffix(dep, "test") && strings.HasPrefix(dep, "gorseledge/") ||
 				strings.HasPrefix(dep, "gorseledge/") && slices.Contains([]string{"emulator", "lab", "rig", "checkout"}, first) {
 				t.Errorf("tags %q: %s is linked", tags, dep)
 			}
--- a/internal/configfeed/feedhttp/calls.go
+++ b/internal/configfeed/feedhttp/calls.go
@@ -9,7 +9,6 @@
 	"strconv"
 
 	"gorseledge/internal/configfeed"
-	"gorseledge/internal/configfeed/feedstore"
 )
 
 const (
@@ -233,7 +232,7 @@
 	}
 	state, err := s.options.Store.At(version)
 	switch {
-	case errors.Is(err, feedstore.ErrOutOfReach):
+	case errors.Is(err, configfeed.ErrOutOfReach):
 		return nil, &StatusError{Code: http.StatusNotFound,
 			Text: fmt.Sprintf("the history does not reach revision %d of epoch %d", version.Revision, version.Epoch)}
 	case err != nil:
--- a/internal/configfeed/feedhttp/server.go
+++ b/internal/configfeed/feedhttp/server.go
@@ -24,9 +24,12 @@
 
 const maxHeaderBytes = 4 << 10 // of a request, beside what net/http adds
 
-// Store keeps what a server promises. Save returns once the disk has it.
+// Store keeps what a server promises.
 type Store interface {
+	// Save returns once the disk has a state and the revisions that lead to it; without revisions the state takes the
+	// place of all before it.
 	Save(state configfeed.State, added []configfeed.Revision) error
+	// At gives the state as of a version, or configfeed.ErrOutOfReach.
 	At(v configfeed.Version) (configfeed.State, error)
 }
 
--- a/internal/configfeed/feedstore/feedstore_test.go
+++ b/internal/configfeed/feedstore/feedstore_test.go
@@ -99,7 +99,7 @@
 			t.Errorf("revision %d: %+v, %v", revision, state, err)
 		}
 	}
-	if _, err := at(5); !errors.Is(err, ErrOutOfReach) {
+	if _, err := at(5); !errors.Is(err, configfeed.ErrOutOfReach) {
 		t.Errorf("a revision to come: %v", err)
 	}
 	// A snapshot takes the place of the log: what came before it can no longer be played.
@@ -111,7 +111,7 @@
 	}
 	w.save(store, 1)
 	for revision, reached := range map[uint64]bool{4: false, 9: false, 10: true, 11: true} {
-		if _, err := at(revision); errors.Is(err, ErrOutOfReach) == reached {
+		if _, err := at(revision); errors.Is(err, configfeed.ErrOutOfReach) == reached {
 			t.Errorf("revision %d after a snapshot: %v", revision, err)
 		}
 	}
@@ -148,7 +148,7 @@
 	if last := stored.History[len(stored.History)-1]; last.Delta.To != w.state.Version {
 		t.Errorf("the last revision is %+v", last.Delta.To)
 	}
-	if _, err := store.At(configfeed.Version{Epoch: 1, Revision: 1}); !errors.Is(err, ErrOutOfReach) {
+	if _, err := store.At(configfeed.Version{Epoch: 1, Revision: 1}); !errors.Is(err, configfeed.ErrOutOfReach) {
 		t.Errorf("a revision that was folded: %v", err)
 	}
 	if _, err := store.At(stored.History[0].Delta.To); err != nil {
--- a/internal/configfeed/feedstore/log.go
+++ b/internal/configfeed/feedstore/log.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"errors"
 	"fmt"
 
 	"go.etcd.io/bbolt"
@@ -11,9 +10,6 @@
 	"gorseledge/internal/configfeed"
 )
 
-// ErrOutOfReach is the error for a version that the log does not hold: it is older than the base or was never there.
-var ErrOutOfReach = errors.New("the log holds no such revision")
-
 func historyKey(position uint64) []byte {
 	return binary.BigEndian.AppendUint64(bytes.Clone(historyPrefix), position)
 }
@@ -68,7 +64,7 @@
 		return nil
 	})
 	if err == nil && up != (configfeed.Version{}) && !reached() {
-		err = ErrOutOfReach
+		err = configfeed.ErrOutOfReach
 	}
 	return state, err
 }
