A process that takes over from one without a revision waits for one as well

Cause: after an upgrade from a process that follows nobody, hosts that the live settings disable got flows until the first answer of a control server; and a start on a busy machine could run out of its second unseen.

Change: such a process waits like one that starts alone, for 2 s at the most, and a line of the log says where no word came in time.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,6 +155,7 @@
 	}
 	if n.shut && !n.able && n.mayOpen() {
 		n.able = true
+		n.noteUnawaited()
 		n.ask(Ready{})
 	}
 	n.liftOn()
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,13 @@
 	return n.now < n.live.awaitTill && n.live.revision.IsZero()
 }
 
+// noteUnawaited says where clients are let in although no revision has come in time.
+func (n *Node) noteUnawaited() {
+	if n.live.awaitTill > 0 && n.live.revision.IsZero() {
+		n.ask(Note{"no word of the live settings in time: clients are let in by the start's"})
+	}
+}
+
 // Revision gives the revision of the live settings that is in force; the zero Revision for none.
 func (n *Node) Revision() live.Revision { return n.live.revision }
 
--- a/internal/sockets/others.go
+++ b/internal/sockets/others.go
@@ -66,7 +66,7 @@
 	}
 	d.fleet = m.open(view.Options{Name: d.config.Name, Build: Version(), Seed: start.Rundown.Seed, Settled: start.Rundown.Nodes,
 		Log: d.log, Nodes: func(n int) { d.send(node.Siblings{Nodes: n}) }, Words: d.heard, Install: d.install,
-		InForce: d.core.Revision(), Successor: d.elder != nil})
+		InForce: d.core.Revision(), Successor: d.elder != nil && d.inheritsRevision()})
 	d.group.Go(func() error { return d.fleet.Run(ctx) })
 	if d.config.PeerAddr != "" || !start.Rundown.Peers {
 		return
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -22,7 +22,7 @@
 
 const (
 	waiting            = 1024 // inputs that may wait for the loop
-	awaitSettings      = 1.0  // s, for a first revision before clients are let in
+	awaitSettings      = 2.0  // s, for a first revision before clients are let in
 	controlDescriptors = 2    // a connection to a control server, and the next one while that is being closed
 )
 
@@ -93,7 +93,7 @@
 	if member.follows {
 		start.Sockets, start.Toll = max(start.Sockets-controlDescriptors, 2), start.Toll+controlDescriptors
 	}
-	if member.follows && p.elder == nil {
+	if member.follows && !p.inheritsRevision() {
 		start.AwaitSettings = awaitSettings
 	}
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/sockets/twin.go
+++ b/internal/sockets/twin.go
@@ -41,6 +41,10 @@
 	given       bool         // the heir has the clients
 }
 
+// inheritsRevision tells whether the predecessor has handed over a revision of the live settings. One that has none
+// may not follow the control servers at all.
+func (p *pair) inheritsRevision() bool { return p.left != nil && p.left.Revision != nil }
+
 // twin is the node's other process.
 type twin struct {
 	link *handover.Link
