--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -3,19 +3,18 @@
 package fleet
 
 import (
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"strconv"
 
+	"gorseledge/internal/fleetkey"
 	"gorseledge/internal/peers"
 	"gorseledge/internal/strict"
 )
 
 const (
-	leastKey    = 16 // bytes
 	leastPeriod = 0.05
 	mostPeriod  = 60.0
 	usualPeriod = 1.0
@@ -32,6 +31,8 @@
 	Zone    string            `toml:"zone"`     // where the node stands
 	Period  float64           `toml:"period_s"` // between two probes, 0.05 to 60; 1 where it is missing
 	Via     map[string]string `toml:"via"`      // where this node reaches an address, if that is elsewhere
+	Region  string            `toml:"region,omitempty"`
+	Control []ControlServer   `toml:"control,omitempty"` // where the node follows the configuration; none for not at all
 	keys    [][]byte
 }
 
@@ -59,11 +60,7 @@
 	if where, err := c.check(); err != nil {
 		return c, where.Wrong(path, text, err)
 	}
-	for _, key := range []string{c.Key, c.OldKey} {
-		if raw, _ := hex.DecodeString(key); len(raw) > 0 {
-			c.keys = append(c.keys, raw)
-		}
-	}
+	c.keys, _ = fleetkey.Decode(c.Key, c.OldKey)
 	return c, nil
 }
 
@@ -102,13 +99,8 @@
 			}
 		}
 	}
-	for _, k := range []struct {
-		name, text string
-		needed     bool
-	}{{"key", c.Key, true}, {"old_key", c.OldKey, false}} {
-		if raw, err := hex.DecodeString(k.text); err != nil || len(raw) < leastKey && (k.needed || len(raw) > 0) {
-			return top(k.name), fmt.Errorf("%s: wanted %d hexadecimal bytes or more", k.name, leastKey)
-		}
+	if _, err := fleetkey.Decode(c.Key, c.OldKey); err != nil {
+		return top(err.Setting), err
 	}
-	return strict.Place{}, nil
+	return c.checkControl()
 }
