--- a/cmd/gorsecontrol/apply.go
+++ b/cmd/gorsecontrol/apply.go
@@ -160,8 +160,8 @@
 		return refused("not the writer: %s is, by that server's control file", outcome.Writer)
 	case configfeed.NotReady:
 		return refused("the writer is not ready: %s", outcome.Detail)
-	case configfeed.TooLarge:
-		return refused("too large: %s", outcome.Detail)
+	case configfeed.TooLarge, configfeed.Invalid:
+		return fmt.Errorf("%s: %s", outcome.Kind, outcome.Detail)
 	case configfeed.Failed:
 		return refused("the writer's disk failed, and whether the change is kept is not known: %s", outcome.Detail)
 	}
--- a/cmd/gorsecontrol/history.go
+++ b/cmd/gorsecontrol/history.go
@@ -39,7 +39,7 @@
 }
 
 func writeRevision(table *tabwriter.Writer, r configfeed.Revision, values bool) {
-	fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\n", versionText(r.Delta.To), timeText(r.At), r.Author, len(r.Delta.Set),
+	fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\n", r.Delta.To, timeText(r.At), r.Author, len(r.Delta.Set),
 		len(r.Delta.Delete), r.Note)
 	if !values {
 		return
@@ -52,8 +52,6 @@
 	}
 }
 
-func versionText(v configfeed.Version) string { return fmt.Sprintf("%d.%d", v.Epoch, v.Revision) }
-
 func timeText(unix float64) string {
 	return time.UnixMilli(int64(unix * 1e3)).UTC().Format(time.RFC3339)
 }
--- a/cmd/gorsecontrol/status.go
+++ b/cmd/gorsecontrol/status.go
@@ -27,7 +27,9 @@
 	Error    string             `json:"error,omitempty"` // why there is nothing else of it
 	Version  configfeed.Version `json:"version"`
 	NotReady string             `json:"not_ready,omitempty"`
-	Nodes    int                `json:"nodes"` // that poll it, as it knows
+	Isolated bool               `json:"isolated,omitempty"` // it does not reach a majority of the servers
+	Diverged []string           `json:"diverged,omitempty"` // servers that have other entries under its revision
+	Nodes    int                `json:"nodes"`              // that poll it, as it knows
 }
 
 // laggard is a node that does not have the newest version.
@@ -119,7 +121,12 @@
 			status.Servers = append(status.Servers, report)
 			continue
 		}
-		report.Version, report.NotReady = answer.status.Version, answer.status.NotReady
+		report.Version, report.NotReady, report.Isolated = answer.status.Version, answer.status.NotReady, answer.status.Isolated
+		for _, peer := range answer.status.Peers {
+			if peer.Diverged {
+				report.Diverged = append(report.Diverged, peer.Name)
+			}
+		}
 		status.Newest = newer(status.Newest, answer.status.Version)
 		for _, follower := range answer.status.Followers {
 			if follower.Server {
--- a/cmd/gorsecontrol/statustable.go
+++ b/cmd/gorsecontrol/statustable.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -10,9 +11,9 @@
 
 // writeStatus writes a status for people.
 func writeStatus(w io.Writer, status fleetStatus) error {
-	fmt.Fprintf(w, "newest revision: %s (epoch.revision), writer: %s\n", versionText(status.Newest), status.Writer)
+	fmt.Fprintf(w, "newest revision: %s (epoch.revision), writer: %s\n", status.Newest, status.Writer)
 	fmt.Fprintf(w, "nodes: %d, with the newest revision: %d, oldest: %s\n\n", status.Nodes, status.Current,
-		versionText(status.Oldest))
+		status.Oldest)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "SERVER\tREGION\tREVISION\tNODES\tSTATE")
 	for _, server := range status.Servers {
@@ -42,7 +43,13 @@
 	case server.Name == writer:
 		state = "takes proposals"
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%d\t%s", server.Name, server.Region, versionText(server.Version), server.Nodes, state)
+	if server.Isolated {
+		state += ", isolated"
+	}
+	if len(server.Diverged) > 0 {
+		state += ", differs from " + strings.Join(server.Diverged, " ")
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%s", server.Name, server.Region, server.Version, server.Nodes, state)
 }
 
 func nodeRow(node laggard) string {
@@ -52,8 +59,8 @@
 	}
 	reason := ""
 	if node.Refused != nil {
-		reason = versionText(node.Refused.Version) + ": " + node.Refused.Reason
+		reason = node.Refused.Version.String() + ": " + node.Refused.Reason
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%s%.0f s\t%.0f s ago\t%s", node.Name, node.Region, versionText(node.Have), bound, node.Lag,
+	return fmt.Sprintf("%s\t%s\t%s\t%s%.0f s\t%.0f s ago\t%s", node.Name, node.Region, node.Have, bound, node.Lag,
 		node.HeardAgo, reason)
 }
--- a/internal/configfeed/effects.go
+++ b/internal/configfeed/effects.go
@@ -25,9 +25,9 @@
 		Changed   []string
 		revisions []Revision // that lead there, where the follower is a server and got them
 	}
-	// AnswerPoll answers a poll that came by Polled. Updates of one server that agree in Kind, Version, the From of
-	// their first delta, and in whether they hold Deltas or Revisions, are equal and share their memory: the caller
-	// may keep one encoded form for all of them, and must not change them.
+	// AnswerPoll answers a poll that came by Polled. Updates of one server that agree in Kind, Version, Isolated, the
+	// From of their first delta, and in whether they hold Deltas or Revisions, are equal and share their memory: the
+	// caller may keep one encoded form for all of them, and must not change them.
 	AnswerPoll struct {
 		Request uint64
 		Update  Update
--- a/internal/configfeed/feedhttp/cache.go
+++ b/internal/configfeed/feedhttp/cache.go
@@ -13,12 +13,13 @@
 	kind         configfeed.UpdateKind
 	version      configfeed.Version
 	from         configfeed.Version
+	isolated     bool
 	hasRevisions bool
 	hasDeltas    bool
 }
 
 func keyOf(u configfeed.Update) updateKey {
-	key := updateKey{kind: u.Kind, version: u.Version, hasRevisions: len(u.Revisions) > 0, hasDeltas: len(u.Deltas) > 0}
+	key := updateKey{kind: u.Kind, version: u.Version, isolated: u.Isolated, hasRevisions: len(u.Revisions) > 0, hasDeltas: len(u.Deltas) > 0}
 	switch {
 	case key.hasDeltas:
 		key.from = u.Deltas[0].From
--- a/internal/configfeed/feedhttp/calls.go
+++ b/internal/configfeed/feedhttp/calls.go
@@ -89,8 +89,8 @@
 		return badRequest("region: more than %d bytes", configfeed.MaxNameBytes)
 	case p.Wait < 0:
 		return badRequest("wait_s: is negative")
-	case p.Refused != nil && len(p.Refused.Reason) > maxReasonBytes:
-		return badRequest("refused: a reason of more than %d bytes", maxReasonBytes)
+	case p.Refused != nil && len(p.Refused.Reason) > configfeed.MaxReasonBytes:
+		return badRequest("refused: a reason of more than %d bytes", configfeed.MaxReasonBytes)
 	}
 	return nil
 }
--- a/internal/configfeed/feedhttp/follower.go
+++ b/internal/configfeed/feedhttp/follower.go
@@ -10,10 +10,7 @@
 	"gorseledge/internal/configfeed"
 )
 
-const (
-	maxReasonBytes = 200 // of a refusal, which goes along with every poll
-	maxLoggedKeys  = 16  // of those that a state changes
-)
+const maxLoggedKeys = 16 // of those that a state changes
 
 // FollowerOptions are what a follower is made of.
 type FollowerOptions struct {
@@ -127,5 +124,5 @@
 // oneLine gives a text as one short line.
 func oneLine(text string) string {
 	text = strings.Join(strings.Fields(text), " ")
-	return strings.ToValidUTF8(text[:min(len(text), maxReasonBytes)], "")
+	return strings.ToValidUTF8(text[:min(len(text), configfeed.MaxReasonBytes)], "")
 }
--- a/internal/configfeed/feedhttp/observer.go
+++ b/internal/configfeed/feedhttp/observer.go
@@ -16,6 +16,8 @@
 	looked   bool
 	notReady string // at the last look
 	heard    bool   // a majority of the servers has been heard
+	isolated bool   // at the last look
+	diverged map[string]bool
 }
 
 // due tells whether it is time for another look.
@@ -34,6 +36,7 @@
 		o.heard = true
 		o.log.Info().Int("heard", heard).Int("majority", o.majority).Msg("a majority of the servers is heard")
 	}
+	o.lookAtPeers(status)
 	if o.looked && status.NotReady == o.notReady {
 		return
 	}
@@ -48,6 +51,24 @@
 	}
 }
 
+// lookAtPeers notes whether a majority is reached, and who has other entries under the same version.
+func (o *observer) lookAtPeers(status configfeed.ServerStatus) {
+	switch {
+	case status.Isolated && !o.isolated:
+		o.log.Warn().Msg("does not reach a majority of the servers")
+	case !status.Isolated && o.isolated:
+		o.log.Info().Msg("reaches a majority of the servers again")
+	}
+	o.isolated = status.Isolated
+	for _, peer := range status.Peers {
+		if peer.Diverged && !o.diverged[peer.Name] {
+			o.log.Error().Str("control_server", peer.Name).Uint64("epoch", status.Version.Epoch).
+				Uint64("revision", status.Version.Revision).Msg("another server has other entries under the same revision")
+		}
+		o.diverged[peer.Name] = peer.Diverged
+	}
+}
+
 // saved notes what has become of a save. It is called by the goroutine that saves.
 func (o *observer) saved(save configfeed.Save, err error) {
 	version := save.State.Version
--- a/internal/configfeed/feedhttp/server.go
+++ b/internal/configfeed/feedhttp/server.go
@@ -75,7 +75,7 @@
 	s.core = configfeed.NewServer(clock.now(), o.Config, o.Stored)
 	s.loop = newLoop(clock, s.core, s.carryOut, s.settled)
 	s.poller = newPoller(newCaller(s.authenticator, o.Via), o.Log, s.polled)
-	s.observed = observer{log: o.Log, majority: len(o.Config.Servers)/2 + 1}
+	s.observed = observer{log: o.Log, majority: len(o.Config.Servers)/2 + 1, diverged: map[string]bool{}}
 	return s
 }
 
--- a/internal/configfeed/types.go
+++ b/internal/configfeed/types.go
@@ -34,7 +34,8 @@
 	return cmp.Or(cmp.Compare(v.Epoch, other.Epoch), cmp.Compare(v.Revision, other.Revision))
 }
 
-func (v Version) String() string { return fmt.Sprintf("%d:%d", v.Epoch, v.Revision) }
+// String gives the form in which operators see a version: epoch.revision.
+func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch, v.Revision) }
 
 // newest gives the newer of two versions. Epochs beyond MaxEpoch are nobody's and count as nothing, so that a broken
 // follower can't use the epochs up.
