--- a/cmd/gorsecontrol/cost_test.go
+++ b/cmd/gorsecontrol/cost_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,7 @@
 type usage struct {
 	processor float64 // seconds
 	resident  int     // kB
+	peak      int     // kB
 }
 
 func usageOf(b *testing.B, pid int) (u usage) {
@@ -44,8 +46,12 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	_, rest, _ := strings.Cut(string(status), "VmRSS:")
-	u.resident, _ = strconv.Atoi(strings.Fields(rest)[0])
+	kilobytes := func(name string) int {
+		_, rest, _ := strings.Cut(string(status), name)
+		value, _ := strconv.Atoi(strings.Fields(rest)[0])
+		return value
+	}
+	u.resident, u.peak = kilobytes("VmRSS:"), kilobytes("VmHWM:")
 	return u
 }
 
@@ -65,18 +71,22 @@
 	}
 }
 
-func measureServer(b *testing.B, plain string, changes int) {
+// startOne starts a server of the program as operators build it.
+func startOne(b *testing.B, plain string) *server {
+	b.Helper()
 	was := program
 	program = plain
 	defer func() { program = was }()
 	s := newServers(b, 1)[0]
 	s.start()
 	s.untilReady()
+	return s
+}
+
+// followAll starts the share of nodes; stop ends them.
+func followAll(b *testing.B, s *server) (nodes []*feedhttp.Follower, stop func()) {
 	ctx, cancel := context.WithCancel(b.Context())
 	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
-	var nodes []*feedhttp.Follower
 	for i := range shareOfNodes {
 		config := configfeed.FollowerConfig{Name: fmt.Sprint("n", i), Region: "r1", Seed: uint64(i), Wait: 2,
 			Servers: []configfeed.ServerAddress{{Name: "c1", Address: s.address(), Region: "r1"}}}
@@ -85,12 +95,22 @@
 		nodes = append(nodes, node)
 		running.Go(func() { node.Run(ctx) })
 	}
+	return nodes, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func measureServer(b *testing.B, plain string, changes int) {
+	s := startOne(b, plain)
+	nodes, stop := followAll(b, s)
+	defer stop()
 	eventually(b, "all nodes poll", func() bool { return s.status().Nodes == shareOfNodes })
 	before, traffic, began := usageOf(b, s.process.Process.Pid), trafficOf(nodes), time.Now()
 	client := s.client()
 	for i := range changes {
 		expected := configfeed.Version{Epoch: uint64(min(i, 1)), Revision: uint64(i)}
-		if _, err := client.Apply(ctx, s.address(), configfeed.Proposal{ID: feedhttp.NewProposalID(), IfVersion: expected,
+		if _, err := client.Apply(b.Context(), s.address(), configfeed.Proposal{ID: feedhttp.NewProposalID(), IfVersion: expected,
 			Entries: []configfeed.Entry{{Key: "nodes", Value: strconv.Itoa(i + 1)}}, Author: "test"}); err != nil {
 			b.Fatal(err)
 		}
@@ -105,6 +125,50 @@
 	b.ReportMetric(float64(moved.BytesSent+moved.BytesReceived-traffic.BytesSent-traffic.BytesReceived)/seconds/shareOfNodes, "B/s/node")
 }
 
+// BenchmarkStartOfAllNodesWithALargeState measures one server while 172 nodes without any state start at once and take
+// one of close to a megabyte each.
+func BenchmarkStartOfAllNodesWithALargeState(b *testing.B) {
+	plain := filepath.Join(b.TempDir(), "gorsecontrol")
+	if out, err := exec.Command("go", "build", "-o", plain, ".").CombinedOutput(); err != nil {
+		b.Fatalf("%v\n%s", err, out)
+	}
+	for range b.N {
+		s := startOne(b, plain)
+		last := fillState(b, s)
+		before, began := usageOf(b, s.process.Process.Pid), time.Now()
+		nodes, stop := followAll(b, s)
+		eventually(b, "all nodes have the state", func() bool {
+			return !slices.ContainsFunc(nodes, func(n *feedhttp.Follower) bool { return n.View().Version != last })
+		})
+		seconds := time.Since(began).Seconds()
+		after := usageOf(b, s.process.Process.Pid)
+		stop()
+		b.ReportMetric(seconds, "s")
+		b.ReportMetric(after.processor-before.processor, "core-s")
+		b.ReportMetric(float64(after.peak)/1024, "MB")
+		b.ReportMetric(float64(trafficOf(nodes).BytesReceived)/shareOfNodes, "B/node")
+	}
+}
+
+// fillState applies changes until the state is close to the largest one, and gives its version.
+func fillState(b *testing.B, s *server) (last configfeed.Version) {
+	b.Helper()
+	const entriesEach, changes = 1200, 16
+	var entries []configfeed.Entry
+	client := s.client()
+	for i := range changes {
+		for j := range entriesEach {
+			entries = append(entries, configfeed.Entry{Key: fmt.Sprintf("hosts.s-%08x.disabled_until_s", i*entriesEach+j), Value: "1764650000"})
+		}
+		outcome, err := client.Apply(b.Context(), s.address(), configfeed.Proposal{ID: feedhttp.NewProposalID(), IfVersion: last, Entries: entries, Author: "test"})
+		if err != nil || outcome.Kind != configfeed.Accepted {
+			b.Fatalf("change %d: %+v, %v", i, outcome, err)
+		}
+		last = outcome.Version
+	}
+	return last
+}
+
 func trafficOf(nodes []*feedhttp.Follower) (sum feedhttp.Traffic) {
 	for _, node := range nodes {
 		t := node.Traffic()
--- a/cmd/gorsecontrol/serve_test.go
+++ b/cmd/gorsecontrol/serve_test.go
@@ -94,6 +94,26 @@
 	eventually(t, "all servers have the fourth revision", func() bool { return allAt(writer.status(), 4) })
 }
 
+func TestAServerWhoseDirectoryIsLostCatchesUpFromTheOthers(t *testing.T) {
+	servers := newServers(t, 3)
+	for _, s := range servers {
+		s.start()
+	}
+	servers[0].untilReady()
+	servers[0].apply("0", 1)
+	eventually(t, "all servers have the revision", func() bool { return allAt(servers[0].status(), 1) })
+	for _, lost := range servers[:2] { // the writer, and then another one
+		lost.end(syscall.SIGKILL)
+		if err := os.RemoveAll(lost.config.Directory); err != nil {
+			t.Fatal(err)
+		}
+		lost.start()
+		eventually(t, lost.name+" has the revision again", func() bool { return allAt(servers[0].status(), 1) })
+	}
+	servers[0].untilReady()
+	servers[0].apply("1.1", 2)
+}
+
 // allAt tells whether every server has a revision of the first epoch.
 func allAt(status fleetStatus, revision uint64) bool {
 	for _, s := range status.Servers {
--- a/internal/configfeed/feedhttp/cache.go
+++ b/internal/configfeed/feedhttp/cache.go
@@ -1,6 +1,8 @@
 package feedhttp
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 
 	"gorseledge/internal/configfeed"
@@ -29,24 +31,47 @@
 	return key
 }
 
+// compressFrom is the size of an answer from which it is compressed, in bytes.
+const compressFrom = 1 << 10
+
+// encodedAnswer is the body of an answer, and its form by gzip where that is smaller.
+type encodedAnswer struct{ text, compressed []byte }
+
+// compress adds the compressed form of an answer that is large.
+func (a *encodedAnswer) compress() {
+	if len(a.text) < compressFrom {
+		return
+	}
+	var out bytes.Buffer
+	w, _ := gzip.NewWriterLevel(&out, gzip.BestSpeed) // fails for another level only
+	w.Write(a.text)                                   // to memory: it does not fail
+	w.Close()
+	if out.Len() < len(a.text) {
+		a.compressed = out.Bytes()
+	}
+}
+
 // updateCache keeps the encoded form of the newest updates: after a change, most followers get the same one.
 type updateCache struct {
 	version configfeed.Version
-	texts   map[updateKey][]byte
+	answers map[updateKey]encodedAnswer
 }
 
 // encode gives an update as JSON. The caller must not change it.
-func (c *updateCache) encode(u configfeed.Update) ([]byte, error) {
-	if u.Version != c.version || len(c.texts) >= maxCachedUpdates || c.texts == nil {
-		c.version, c.texts = u.Version, map[updateKey][]byte{}
+func (c *updateCache) encode(u configfeed.Update) (encodedAnswer, error) {
+	if u.Version != c.version || len(c.answers) >= maxCachedUpdates || c.answers == nil {
+		c.version, c.answers = u.Version, map[updateKey]encodedAnswer{}
 	}
 	key := keyOf(u)
-	if text, found := c.texts[key]; found {
-		return text, nil
+	if answer, found := c.answers[key]; found {
+		return answer, nil
 	}
 	text, err := json.Marshal(u)
-	if err == nil {
-		c.texts[key] = text
+	if err != nil {
+		return encodedAnswer{}, err
 	}
-	return text, err
+	answer := encodedAnswer{text: text}
+	answer.compress()
+	c.answers[key] = answer
+	return answer, nil
 }
--- a/internal/configfeed/feedhttp/cache_test.go
+++ b/internal/configfeed/feedhttp/cache_test.go
@@ -31,13 +31,13 @@
 	var cache updateCache
 	for range 2 {
 		for i, u := range updates {
-			text, err := cache.encode(u)
+			answer, err := cache.encode(u)
 			if err != nil {
 				t.Fatal(err)
 			}
 			var decoded configfeed.Update
-			if err := json.Unmarshal(text, &decoded); err != nil || !reflect.DeepEqual(decoded, u) {
-				t.Errorf("update %d became %s, %v", i, text, err)
+			if err := json.Unmarshal(answer.text, &decoded); err != nil || !reflect.DeepEqual(decoded, u) {
+				t.Errorf("update %d became %s, %v", i, answer.text, err)
 			}
 		}
 	}
--- a/internal/configfeed/feedhttp/caller.go
+++ b/internal/configfeed/feedhttp/caller.go
@@ -39,7 +39,7 @@
 
 func newCaller(a *authenticator, via map[string]string) *caller {
 	c := &caller{authenticator: a, via: via}
-	c.transport = &http.Transport{DialContext: c.traffic.dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+	c.transport = &http.Transport{DialContext: c.traffic.dial, MaxIdleConnsPerHost: 1,
 		IdleConnTimeout: idleConnection, ReadBufferSize: connectionBuffer, WriteBufferSize: connectionBuffer,
 		MaxResponseHeaderBytes: maxAnswerHeadSize}
 	return c
--- a/internal/configfeed/feedhttp/calls.go
+++ b/internal/configfeed/feedhttp/calls.go
@@ -47,16 +47,16 @@
 }
 
 // poll holds a poll until the core answers it or its caller goes.
-func (s *Server) poll(r *http.Request, body []byte) ([]byte, error) {
+func (s *Server) poll(r *http.Request, body []byte) (encodedAnswer, error) {
 	s.counts.polls.Add(1)
 	var p configfeed.Poll
 	if err := decode(body, &p); err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	if err := checkPoll(p); err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
-	answer := make(chan []byte, 1)
+	answer := make(chan encodedAnswer, 1)
 	var request uint64
 	if !s.loop.post(func(now float64) []configfeed.ServerEffect {
 		s.lastRequest++
@@ -64,20 +64,20 @@
 		s.polls[request] = answer
 		return s.core.Polled(now, request, p)
 	}) {
-		return nil, errStopping
+		return encodedAnswer{}, errStopping
 	}
 	select {
-	case text := <-answer:
-		return text, nil
+	case encoded := <-answer:
+		return encoded, nil
 	case <-s.stopping:
-		return nil, errStopping
+		return encodedAnswer{}, errStopping
 	case <-r.Context().Done():
 		s.loop.post(func(now float64) []configfeed.ServerEffect {
 			delete(s.polls, request)
 			s.core.Closed(now, request)
 			return nil
 		})
-		return nil, errCallerGone
+		return encodedAnswer{}, errCallerGone
 	}
 }
 
@@ -96,21 +96,21 @@
 }
 
 // apply proposes entries and waits until they are on the disk or refused.
-func (s *Server) apply(r *http.Request, body []byte) ([]byte, error) {
+func (s *Server) apply(r *http.Request, body []byte) (encodedAnswer, error) {
 	s.counts.applies.Add(1)
 	var p configfeed.Proposal
 	if err := decode(body, &p); err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	if p.ID == "" {
-		return nil, badRequest("id: is missing")
+		return encodedAnswer{}, badRequest("id: is missing")
 	}
 	if err := checkTexts(p.ID, p.Author, p.Note); err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	if s.options.Check != nil {
 		if err := s.options.Check(p.Entries); err != nil {
-			return nil, badRequest("%s", oneLine(err.Error()))
+			return encodedAnswer{}, badRequest("%s", oneLine(err.Error()))
 		}
 	}
 	return s.propose(r, func(now float64, request uint64) []configfeed.ServerEffect {
@@ -128,13 +128,13 @@
 }
 
 // newEpoch begins an epoch where the newest version is the one that the caller has seen.
-func (s *Server) newEpoch(r *http.Request, body []byte) ([]byte, error) {
+func (s *Server) newEpoch(r *http.Request, body []byte) (encodedAnswer, error) {
 	var e EpochRequest
 	if err := decode(body, &e); err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	if err := checkTexts(e.Author, e.Note); err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	return s.propose(r, func(now float64, request uint64) []configfeed.ServerEffect {
 		if newest := s.core.Status(now).Version; newest != e.IfVersion {
@@ -146,22 +146,22 @@
 }
 
 // propose asks the core for something that it answers by an outcome. A caller who goes does not end it.
-func (s *Server) propose(r *http.Request, ask func(now float64, request uint64) []configfeed.ServerEffect) ([]byte, error) {
+func (s *Server) propose(r *http.Request, ask func(now float64, request uint64) []configfeed.ServerEffect) (encodedAnswer, error) {
 	answer := make(chan configfeed.Outcome, 1)
 	if !s.loop.post(func(now float64) []configfeed.ServerEffect {
 		s.lastRequest++
 		s.proposals[s.lastRequest] = answer
 		return ask(now, s.lastRequest)
 	}) {
-		return nil, errStopping
+		return encodedAnswer{}, errStopping
 	}
 	select {
 	case outcome := <-answer:
-		return json.Marshal(outcome)
+		return encodeAnswer(outcome)
 	case <-s.loop.stopped:
-		return nil, errStopping
+		return encodedAnswer{}, errStopping
 	case <-r.Context().Done():
-		return nil, errCallerGone
+		return encodedAnswer{}, errCallerGone
 	}
 }
 
@@ -184,28 +184,28 @@
 	return status, err
 }
 
-func (s *Server) status(*http.Request, []byte) ([]byte, error) {
+func (s *Server) status(*http.Request, []byte) (encodedAnswer, error) {
 	status, err := s.currentStatus()
 	if err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
-	return json.Marshal(status)
+	return encodeAnswer(status)
 }
 
 // history tells the newest revisions, as many as are asked for by the parameter limit and fit into an answer.
-func (s *Server) history(r *http.Request, _ []byte) ([]byte, error) {
+func (s *Server) history(r *http.Request, _ []byte) (encodedAnswer, error) {
 	limit, err := number(r, "limit", defaultHistoryLength)
 	if err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	var answer HistoryAnswer
 	err = s.inquire(func(now float64) {
 		answer = HistoryAnswer{Version: s.core.Status(now).Version, Revisions: newestRevisions(s.core.History(), limit)}
 	})
 	if err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
-	return json.Marshal(answer)
+	return encodeAnswer(answer)
 }
 
 // newestRevisions gives a copy of the last revisions, oldest first.
@@ -221,24 +221,24 @@
 }
 
 // state tells the whole configuration as of a revision of the present epoch: of the newest one without a parameter.
-func (s *Server) state(r *http.Request, _ []byte) ([]byte, error) {
+func (s *Server) state(r *http.Request, _ []byte) (encodedAnswer, error) {
 	status, err := s.currentStatus()
 	if err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	version := status.Version
 	if version.Revision, err = number(r, "revision", version.Revision); err != nil {
-		return nil, err
+		return encodedAnswer{}, err
 	}
 	state, err := s.options.Store.At(version)
 	switch {
 	case errors.Is(err, configfeed.ErrOutOfReach):
-		return nil, &StatusError{Code: http.StatusNotFound,
+		return encodedAnswer{}, &StatusError{Code: http.StatusNotFound,
 			Text: fmt.Sprintf("the history does not reach revision %d of epoch %d", version.Revision, version.Epoch)}
 	case err != nil:
-		return nil, &StatusError{Code: http.StatusInternalServerError, Text: oneLine(err.Error())}
+		return encodedAnswer{}, &StatusError{Code: http.StatusInternalServerError, Text: oneLine(err.Error())}
 	}
-	return json.Marshal(state)
+	return encodeAnswer(state)
 }
 
 // number reads a parameter of a request.
--- a/internal/configfeed/feedhttp/follower_test.go
+++ b/internal/configfeed/feedhttp/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 
@@ -116,3 +117,24 @@
 		eventually(t, "the revision is in force everywhere", func() bool { return n.View().Version == version(1, 1) })
 	}
 }
+
+// A large state is compressed on the way, and what is authenticated is the state itself.
+func TestALargeStateIsCompressedOnTheWay(t *testing.T) {
+	f := startServers(t, 1)
+	client := f.client()
+	var entries []configfeed.Entry
+	size := 0
+	for i := range 1000 {
+		e := configfeed.Entry{Key: fmt.Sprintf("hosts.s-%08x.disabled_until_s", i), Value: "1764650000"}
+		entries, size = append(entries, e), size+len(e.Key)+len(e.Value)
+	}
+	p := configfeed.Proposal{ID: NewProposalID(), Entries: entries, Author: "test"}
+	if outcome, err := client.Apply(t.Context(), f.writer(), p); err != nil || outcome.Kind != configfeed.Accepted {
+		t.Fatalf("%+v, %v", outcome, err)
+	}
+	n := f.follow("n1", "r1", false)
+	eventually(t, "the state is in force", func() bool { return n.View().Version == version(1, 1) })
+	if received := n.Traffic().BytesReceived; received > uint64(size)/2 {
+		t.Errorf("%d bytes were received for %d", received, size)
+	}
+}
--- a/internal/configfeed/feedhttp/handler.go
+++ b/internal/configfeed/feedhttp/handler.go
@@ -1,9 +1,11 @@
 package feedhttp
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -16,7 +18,7 @@
 )
 
 // call answers a request that is authentic. Its error is a *StatusError, or errCallerGone.
-type call func(r *http.Request, body []byte) (answer []byte, err error)
+type call func(r *http.Request, body []byte) (encodedAnswer, error)
 
 var errCallerGone = errors.New("the caller has gone")
 
@@ -76,11 +78,22 @@
 		}
 		w.Header()["Date"] = nil // few bytes for each poll: nobody reads it
 		w.Header().Set("Content-Type", "application/json")
-		s.authenticator.signAnswer(key, r, w.Header(), http.StatusOK, answer)
-		w.Write(answer)
+		s.authenticator.signAnswer(key, r, w.Header(), http.StatusOK, answer.text)
+		if answer.compressed != nil && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+			w.Header().Set("Content-Encoding", "gzip")
+			w.Write(answer.compressed)
+			return
+		}
+		w.Write(answer.text)
 	}
 }
 
+// encodeAnswer gives a value as the answer of a call.
+func encodeAnswer(value any) (encodedAnswer, error) {
+	text, err := json.Marshal(value)
+	return encodedAnswer{text: text}, err
+}
+
 // readBody reads a body to its end, within a time that does not count for what comes after.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	control := http.NewResponseController(w)
--- a/internal/configfeed/feedhttp/server.go
+++ b/internal/configfeed/feedhttp/server.go
@@ -60,7 +60,7 @@
 
 	// Owned by the loop's goroutine.
 	lastRequest uint64
-	polls       map[uint64]chan<- []byte
+	polls       map[uint64]chan<- encodedAnswer
 	proposals   map[uint64]chan<- configfeed.Outcome
 	encoded     updateCache
 	observed    observer
@@ -70,7 +70,7 @@
 func NewServer(o ServerOptions) *Server {
 	s := &Server{options: o, authenticator: &authenticator{fleet: o.Fleet, keys: o.Keys},
 		saves: make(chan configfeed.Save, 1), stopping: make(chan struct{}), applies: make(chan struct{}, maxApplies),
-		polls: map[uint64]chan<- []byte{}, proposals: map[uint64]chan<- configfeed.Outcome{}}
+		polls: map[uint64]chan<- encodedAnswer{}, proposals: map[uint64]chan<- configfeed.Outcome{}}
 	clock := newClock()
 	s.core = configfeed.NewServer(clock.now(), o.Config, o.Stored)
 	s.loop = newLoop(clock, s.core, s.carryOut, s.settled)
@@ -148,11 +148,11 @@
 		return
 	}
 	delete(s.polls, e.Request)
-	text, err := s.encoded.encode(e.Update)
+	encoded, err := s.encoded.encode(e.Update)
 	if err != nil {
 		s.options.Log.Error().Err(err).Msg("an answer that is no JSON")
 	}
-	answer <- text
+	answer <- encoded
 }
 
 // polled takes the end of this server's own poll on the poll's goroutine.
