--- a/internal/configfeed/feedhttp/server.go
+++ b/internal/configfeed/feedhttp/server.go
@@ -24,9 +24,12 @@
 
 const maxHeaderBytes = 4 << 10 // of a request, beside what net/http adds
 
-// Store keeps what a server promises. Save returns once the disk has it.
+// Store keeps what a server promises.
 type Store interface {
+	// Save returns once the disk has a state and the revisions that lead to it; without revisions the state takes the
+	// place of all before it.
 	Save(state configfeed.State, added []configfeed.Revision) error
+	// At gives the state as of a version, or configfeed.ErrOutOfReach.
 	At(v configfeed.Version) (configfeed.State, error)
 }
 
@@ -57,7 +60,7 @@
 
 	// Owned by the loop's goroutine.
 	lastRequest uint64
-	polls       map[uint64]chan<- []byte
+	polls       map[uint64]chan<- encodedAnswer
 	proposals   map[uint64]chan<- configfeed.Outcome
 	encoded     updateCache
 	observed    observer
@@ -67,12 +70,12 @@
 func NewServer(o ServerOptions) *Server {
 	s := &Server{options: o, authenticator: &authenticator{fleet: o.Fleet, keys: o.Keys},
 		saves: make(chan configfeed.Save, 1), stopping: make(chan struct{}), applies: make(chan struct{}, maxApplies),
-		polls: map[uint64]chan<- []byte{}, proposals: map[uint64]chan<- configfeed.Outcome{}}
+		polls: map[uint64]chan<- encodedAnswer{}, proposals: map[uint64]chan<- configfeed.Outcome{}}
 	clock := newClock()
 	s.core = configfeed.NewServer(clock.now(), o.Config, o.Stored)
 	s.loop = newLoop(clock, s.core, s.carryOut, s.settled)
 	s.poller = newPoller(newCaller(s.authenticator, o.Via), o.Log, s.polled)
-	s.observed = observer{log: o.Log, majority: len(o.Config.Servers)/2 + 1}
+	s.observed = observer{log: o.Log, majority: len(o.Config.Servers)/2 + 1, diverged: map[string]bool{}}
 	return s
 }
 
@@ -145,11 +148,11 @@
 		return
 	}
 	delete(s.polls, e.Request)
-	text, err := s.encoded.encode(e.Update)
+	encoded, err := s.encoded.encode(e.Update)
 	if err != nil {
 		s.options.Log.Error().Err(err).Msg("an answer that is no JSON")
 	}
-	answer <- text
+	answer <- encoded
 }
 
 // polled takes the end of this server's own poll on the poll's goroutine.
