A line logged just before the end of a program is written: the log's writer waits for it

At fault: diode.NewWriter in cmd/gorseledge/main.go; the library's Close ends its goroutine, which looks for lines first and for the end after that, so a line that came in between is left in the buffer. Change: internal/logwriter counts the lines handed over and written, and Close waits for them, for a second at the most where the log's reader is slow. Both programs use it.

--- a/cmd/gorsecontrol/serve.go
+++ b/cmd/gorsecontrol/serve.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
 
 	"gorseledge/internal/configfeed"
@@ -16,13 +15,10 @@
 	"gorseledge/internal/configfeed/feedhttp"
 	"gorseledge/internal/configfeed/feedstore"
 	"gorseledge/internal/livesettings"
+	"gorseledge/internal/logwriter"
 )
 
-const (
-	maxProcessors   = 2 // a control machine has little to do: more would only spread it
-	logBufferLines  = 1024
-	logPollInterval = 10 * time.Millisecond
-)
+const maxProcessors = 2 // a control machine has little to do: more would only spread it
 
 func serveCommand() *cobra.Command {
 	return &cobra.Command{Use: "serve FILE", Short: "Run the control server of a control file", Args: cobra.ExactArgs(1),
@@ -34,7 +30,7 @@
 			}
 			runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), maxProcessors))
 			// Guards against a slow reader of the log holding the server up: lines are dropped first.
-			out := diode.NewWriter(os.Stderr, logBufferLines, logPollInterval, nil)
+			out := logwriter.New(os.Stderr)
 			defer out.Close()
 			log := zerolog.New(out).With().Timestamp().Str("server", config.Name).Logger()
 			if err := serve(cmd.Context(), config, log); err != nil {
--- a/cmd/gorseledge/main.go
+++ b/cmd/gorseledge/main.go
@@ -12,9 +12,9 @@
 	"syscall"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
 
+	"gorseledge/internal/logwriter"
 	"gorseledge/internal/rundown"
 	"gorseledge/internal/sockets"
 )
@@ -77,7 +77,7 @@
 	signal.Notify(leave, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP)
 	// Guards against a slow reader of the log holding the node up: lines are dropped first.
-	out := diode.NewWriter(os.Stderr, 4096, 0, nil)
+	out := logwriter.New(os.Stderr)
 	defer out.Close()
 	log := zerolog.New(out).With().Timestamp().Logger()
 	config, err := sockets.ReadConfig(path)
