A group is dealt over as many homes as bear one connection a node

Cause, by a build with each choice in its log: at a home each node keeps one connection of a group, 300 in all, and a host bears 36. Of the largest groups (200, 167, 106 clients) 154, 153 and 80 were placed at the first home within five seconds. What was shed came back through another node, which sent four in five to the second or third home by the client's hash: 103 and 103 of the 314 returns of the largest. One client went to one host eight times through eight nodes, none of which saw a slow host. Lines at fault: enter in placement.go, the floor of one connection at a home and the choice among two further homes. Ruled out: errors, the list, the store, full hosts (84 connects). Change: where one connection a node is more than three homes bear, by the members' shares, all of a group is dealt by the client's hash over as many homes as bear that, fresh, back or mid-flow alike. Test: TestGroupsDealt fails without the change (all 300 at one home). The lines: the guard for a fresh flow went into returned, the age of a cold server is no variable of its own.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -526,8 +526,7 @@
 	if now >= b.halveAt {
 		b.halveAt = now + halfLife
 		for i := range b.servers {
-			b.servers[i].bad /= 2
-			b.servers[i].good /= 2
+			b.servers[i].bad, b.servers[i].good = b.servers[i].bad/2, b.servers[i].good/2
 		}
 	}
 }
@@ -581,11 +580,10 @@
 // warmth is the share of its capacity that a server has at the least by now.
 func (b *Balancer) warmth(now float64, s *server) float64 {
 	since := max(s.Since, s.handAt)
-	age := now - since
-	if since <= 0 || b.ColdFor <= 0 || age >= b.ColdFor {
+	if since <= 0 || b.ColdFor <= 0 || now-since >= b.ColdFor {
 		return 1
 	}
-	return b.ColdFrom + (1-b.ColdFrom)*max(age, 0)/b.ColdFor
+	return b.ColdFrom + (1-b.ColdFrom)*max(now-since, 0)/b.ColdFor
 }
 
 // mayTake keeps to this node's part of a cold server's budget in a window: what a warm server's connections,
@@ -639,16 +637,20 @@
 	if f.home == 0 {
 		return entry, full, after
 	}
-	next, draw := b.homeOf(f.home, -1)
-	// What comes back had too much where it was: home, or the next two, by its client, so that one handed over
-	// mid-flow is looked for where it most likely went. Others go home as strain is seen.
-	further := float64(f.ca>>11) / (1 << 53) / (searchShare * b.blind)
-	search := (f.back || mid) && further < 1
-	for k := 0; search && k < 1+int(2*further); k++ {
-		after = draw
-		next, draw = b.homeOf(f.home, after)
+	// By the client, so that one handed over mid-flow is looked for where it most likely went. What comes back had
+	// too much where it was: home, or the next two. Others go home as strain is seen. But where one connection a
+	// node is more than these three bear, a group's clients are dealt over as many homes as bear that.
+	homes, rank, part := int(1/cmp.Or(b.due, 1)), 0, float64(f.ca>>11)/(1<<53)
+	if further := part / (searchShare * b.blind); homes > 3 {
+		rank = int(part * float64(homes))
+	} else if (f.back || mid) && further < 1 {
+		rank = 1 + int(2*further)
 	}
-	if f.back || search || b.chance() < b.strain {
+	for range rank {
+		_, after = b.homeOf(f.home, after)
+	}
+	next, _ := b.homeOf(f.home, after)
+	if f.back || rank > 0 || homes > 3 || b.chance() < b.strain {
 		// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
 		entry, full = next, min(full, math.Ceil(max(1, homeFactor*mean))-1)
 	}
@@ -657,9 +659,9 @@
 
 // returned gives a server put back by hand that no flow has entered since, or -1: each node sends one at the
 // most, as far as a cold server bears that. Guards against one that stands empty for long in thin traffic.
-func (b *Balancer) returned(now float64, mean float64) int {
+func (b *Balancer) returned(now float64, f *flow, mean float64) int {
 	for _, at := range b.usable {
-		if s := &b.servers[at]; s.wanted > 0 && now >= s.wanted {
+		if s := &b.servers[at]; f.tries == 0 && !f.midFlow && s.wanted > 0 && now >= s.wanted {
 			s.wanted = 0
 			if b.chance() < b.warmth(now, s)*mean*b.FallMultiple/2*backWithin/cmp.Or(b.FallFor, 1) {
 				return at
@@ -680,10 +682,8 @@
 	for _, i := range b.usable {
 		mean += float64(b.servers[i].held) / float64(m)
 	}
-	if f.tries == 0 && !mid {
-		if at := b.returned(now, mean); at >= 0 {
-			return at
-		}
+	if at := b.returned(now, f, mean); at >= 0 {
+		return at
 	}
 	entry, full, after := b.enter(f, mid, mean)
 	spare, load := 1.0, b.loadOf(f)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -512,6 +512,61 @@
 	}
 }
 
+// Nodes that each place one client of a group at its home put as many there as there are nodes. Where the members'
+// shares say that three servers bear less, the group's clients are dealt over as many homes as bear that, and every
+// node finds a client where any other placed it. Guards against a large group that jams its home, and whose clients are
+// sent back there by one node after another: each sees none of the jam (fleet day calm, 300 nodes).
+func TestGroupsDealt(t *testing.T) {
+	const n, nodes = 90, 300
+	for _, c := range []struct {
+		name   string
+		bears  float64 // connections a server, by the members' shares; 0 where not told
+		homes  int
+		strain float64
+	}{
+		{"not told", 0, 1, 1},
+		{"one connection a node and more", 1.5 * nodes, 1, 1},
+		{"a third of that", 0.34 * nodes, 1, 1},
+		{"a good fifth of that, in a jam", 0.24 * nodes, 4, 1},
+		{"a good fifth of that, after quiet minutes", 0.24 * nodes, 4, 0},
+		{"a good ninth of that", 0.115 * nodes, 8, 0.5},
+	} {
+		var quotas []float64
+		if c.bears > 0 {
+			quotas = []float64{0.75 * n * c.bears, 0.25 * n * c.bears}
+		}
+		node := func(seed int) *rig {
+			g := newRig(n, func(r *Rundown) { r.Nodes, r.Seed, r.Quotas = nodes, uint64(seed), quotas })
+			g.strain, g.blind = c.strain, 0.95
+			return g
+		}
+		first, at := node(0).homes(77, c.homes), map[int]int{}
+		for client := range nodes {
+			a := Arrival{Key: mix(uint64(client)), Group: 77, Tenant: client % 2}
+			_, placed := node(2*client).arrive(1, a)
+			at[slices.Index(first, placed)]++
+			if c.homes == 1 {
+				continue
+			}
+			a.Back = true
+			if _, back := node(2*client+1).arrive(1, a); back != placed {
+				t.Errorf("%s: client %d was at %d, came back to %d", c.name, client, placed, back)
+			}
+			a.Back, a.MidFlow = false, true
+			if _, looked := node(2*client+1).arrive(1, a); looked != placed {
+				t.Errorf("%s: client %d is at %d, handed over it is looked for at %d", c.name, client, placed, looked)
+			}
+		}
+		most := 0
+		for _, held := range at {
+			most = max(most, held)
+		}
+		if at[-1] > 0 || len(at) != c.homes || most > nodes/c.homes*3/2 {
+			t.Errorf("%s: at its homes %v, wanted %d homes evenly", c.name, at, c.homes)
+		}
+	}
+}
+
 func TestSetAside(t *testing.T) {
 	g := newRig(9, nil)
 	g.fill(0, 20)
