Homes of a group are bounded by the list, whatever the shares tell

Lines at fault: enter in placement.go. Change: no more homes than the list has servers. Test: TestOddInput, "shares of next to nothing", which does not end within 10 s without it. The line: what a whole list forgets is one step in place of two.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -160,10 +160,8 @@
 		b.say("list call failed, next in %.1f s, %d servers known", b.askAt-now, len(b.base))
 		return
 	}
-	if kind != ListChanges {
-		for i := range b.servers {
-			b.servers[i].listed = false
-		}
+	for i := range b.servers { // a whole list begins anew
+		b.servers[i].listed = b.servers[i].listed && kind == ListChanges
 	}
 	before := len(b.base)
 	for _, it := range items {
@@ -526,7 +524,8 @@
 	if now >= b.halveAt {
 		b.halveAt = now + halfLife
 		for i := range b.servers {
-			b.servers[i].bad, b.servers[i].good = b.servers[i].bad/2, b.servers[i].good/2
+			b.servers[i].bad /= 2
+			b.servers[i].good /= 2
 		}
 	}
 }
@@ -640,7 +639,8 @@
 	// By the client, so that one handed over mid-flow is looked for where it most likely went. What comes back had
 	// too much where it was: home, or the next two. Others go home as strain is seen. But where one connection a
 	// node is more than these three bear, a group's clients are dealt over as many homes as bear that.
-	homes, rank, part := int(1/cmp.Or(b.due, 1)), 0, float64(f.ca>>11)/(1<<53)
+	homes := int(min(1/cmp.Or(b.due, 1), float64(len(b.base))))
+	rank, part := 0, float64(f.ca>>11)/(1<<53)
 	if further := part / (searchShare * b.blind); homes > 3 {
 		rank = int(part * float64(homes))
 	} else if (f.back || mid) && further < 1 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1000,6 +1000,7 @@
 		{"a thousand servers", nil, 1000, nil},
 		{"no nodes, members, types or connects told", func(r *Rundown) { *r = Rundown{} }, 20, nil},
 		{"a member and a type that were not told", func(r *Rundown) { r.Quotas = []float64{1} }, 20, nil},
+		{"shares of next to nothing", func(r *Rundown) { r.Quotas = []float64{1e-12} }, 20, nil},
 		{"ids that were never given", nil, 20, func(g *rig) {
 			for _, id := range []int{-1, 0, 9999} {
 				g.Established(id, 0)
