members: keeps its figures as a table with provenance

The capacity page is to be written from committed figures, and members only printed them. Its CPU was real time, which a busy machine stretches.

--- a/cmd/gorselab/members.go
+++ b/cmd/gorselab/members.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gorseledge/internal/emulator/members"
+	"gorseledge/internal/figures"
 	"gorseledge/internal/lab"
 )
 
@@ -24,6 +25,7 @@
 	var seconds float64
 	var rest bool
 	var charts string
+	var keep tableFile
 	c := &cobra.Command{Use: "members", Short: "Measure detection, false deaths and load of the membership core (simulated)",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, args []string) error {
 			if seeds < 1 || o.Loss < 0 || o.Loss >= 1 || s.Part < 0 || s.Part > 1 || seconds <= 0 || s.For <= 0 || s.Every <= s.For {
@@ -36,19 +38,29 @@
 			}
 			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
 			defer t.Flush()
+			table := keep.begin(seeds)
 			if rest {
-				return idle(cmd.Context(), t, nodes, o)
+				if err := idle(cmd.Context(), t, table, nodes, o, seeds); err != nil {
+					return err
+				}
+				return keep.end(table)
 			}
 			fmt.Fprintln(t, "core\tnodes\tseeds\tfirst suspects, median\t99th\tfirst knows\tlast knows\t99th\tknown by\tfalse suspicions an hour\t"+
 				"false deaths an hour\tbytes a member and second")
 			for _, o.Nodes = range nodes {
 				var cores []members.Core
 				for _, o.Plain = range []bool{false, true} {
+					if o.Plain && keep.path != "" {
+						continue // a table is of the core as built
+					}
 					found, err := measure(cmd.Context(), o, s, seconds, seeds)
 					if err != nil {
 						return err
 					}
 					row(t, o, found)
+					for _, m := range found {
+						table.Rows = append(table.Rows, m.Figures(o.Nodes)...)
+					}
 					cores = append(cores, members.Core{Name: name(o), Measures: found})
 				}
 				if charts == "" {
@@ -62,11 +74,12 @@
 					return err
 				}
 			}
-			return nil
+			return keep.end(table)
 		}}
+	keep.flags(c)
 	c.Flags().IntSliceVar(&nodes, "nodes", []int{30, 300}, "sizes of the fleets")
 	c.Flags().StringVar(&charts, "charts", "", "draw a chart of each size into this directory")
-	c.Flags().BoolVar(&rest, "rest", false, "measure fleets at rest instead: CPU, memory, messages")
+	c.Flags().BoolVar(&rest, "rest", false, "measure fleets at rest instead: CPU, memory, messages; one row a seed")
 	c.Flags().IntVar(&seeds, "seeds", 20, "fleets of each size")
 	c.Flags().Float64Var(&o.Loss, "loss", 0, "part of the messages that is lost")
 	c.Flags().Float64Var(&s.Part, "stalls", 0.1, "part of the nodes that stalls")
@@ -77,15 +90,18 @@
 }
 
 // idle measures fleets at rest, one after the other.
-func idle(ctx context.Context, w io.Writer, nodes []int, o members.Options) error {
+func idle(ctx context.Context, w io.Writer, table *figures.Table, nodes []int, o members.Options, seeds int) error {
 	fmt.Fprintln(w, "members\tCPU a member and second, us\tmemory a member, kB\tmessages a second\tbytes a second")
 	for _, o.Nodes = range nodes {
-		if err := ctx.Err(); err != nil {
-			return err
+		for seed := 1; seed <= seeds; seed++ {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			o.Seed = uint64(seed)
+			r := members.Idle(o, 60)
+			fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\t%.0f\n", o.Nodes, 1e6*r.CPU, r.Memory/1e3, r.Messages, r.Bytes)
+			table.Rows = append(table.Rows, r.Figures(seed, o.Nodes)...)
 		}
-		o.Seed = 1
-		r := members.Idle(o, 60)
-		fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\t%.0f\n", o.Nodes, 1e6*r.CPU, r.Memory/1e3, r.Messages, r.Bytes)
 	}
 	return nil
 }
--- /dev/null
+++ b/cmd/gorselab/table.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"gorseledge/internal/figures"
+	"gorseledge/internal/lab"
+)
+
+// tableFile is where a command keeps its figures, and what it says of the machine.
+type tableFile struct{ path, machine string }
+
+func (f *tableFile) flags(c *cobra.Command) {
+	c.Flags().StringVar(&f.path, "csv", "", "keep the figures here (docs/capacity/README.md)")
+	c.Flags().StringVar(&f.machine, "machine", "what else ran on it was not noted", "what the table says of the machine")
+}
+
+// begin gives a table with the provenance of this command.
+func (f *tableFile) begin(repeats int) *figures.Table {
+	command := strings.Join(append([]string{"gorselab"}, withoutPlace(os.Args[1:])...), " ")
+	return &figures.Table{Provenance: figures.Here(command, f.machine, repeats)}
+}
+
+// end keeps the table, if it is to be kept.
+func (f *tableFile) end(table *figures.Table) error {
+	if f.path == "" {
+		return nil
+	}
+	return lab.Keep(f.path, table.CSV())
+}
+
+// withoutPlace leaves out of a command's arguments what says where its figures go and how the machine was: neither
+// changes what is measured.
+func withoutPlace(args []string) (out []string) {
+	for i := 0; i < len(args); i++ {
+		name, _, joined := strings.Cut(args[i], "=")
+		switch name {
+		case "--csv", "--machine", "--out":
+			if !joined {
+				i++
+			}
+		case "--node":
+			if !joined {
+				i++
+				out = append(out, "--node", filepath.Base(args[min(i, len(args)-1)]))
+			}
+		default:
+			out = append(out, args[i])
+		}
+	}
+	return out
+}
--- a/internal/emulator/members/measure.go
+++ b/internal/emulator/members/measure.go
@@ -4,7 +4,7 @@
 	"math"
 	"runtime"
 	"slices"
-	"time"
+	"syscall"
 
 	"gorseledge/internal/membership"
 )
@@ -82,7 +82,7 @@
 
 // Rest is what a member costs while nothing befalls its fleet.
 type Rest struct {
-	CPU      float64 // seconds a member and second, of this machine: real time, on one goroutine
+	CPU      float64 // seconds a member and second: processor time of this process, with its garbage collection
 	Memory   float64 // bytes a member, of all that it keeps
 	Messages float64 // sent a member and second
 	Bytes    float64
@@ -104,15 +104,26 @@
 		}
 		return all
 	}
-	bytes, messages, began := sum(w.Bytes), sum(w.Messages), time.Now()
+	bytes, messages, began := sum(w.Bytes), sum(w.Messages), processorTime()
 	w.Run(w.Now + periods*w.Period)
 	per := float64(o.Nodes) * periods * w.Period
-	r = Rest{CPU: time.Since(began).Seconds() / per, Memory: float64(after.HeapAlloc-before.HeapAlloc) / float64(o.Nodes),
+	r = Rest{CPU: (processorTime() - began) / per, Memory: float64(after.HeapAlloc-before.HeapAlloc) / float64(o.Nodes),
 		Messages: (sum(w.Messages) - messages) / per, Bytes: (sum(w.Bytes) - bytes) / per}
 	runtime.KeepAlive(w)
 	return r
 }
 
+// processorTime is what this process has used so far, in seconds, user and system.
+func processorTime() float64 {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		panic(err) // it has no other reason than a wrong argument
+	}
+	return seconds(used.Utime) + seconds(used.Stime)
+}
+
+func seconds(of syscall.Timeval) float64 { return float64(of.Sec) + float64(of.Usec)/1e6 }
+
 // Quantile gives the value under which a part of some lies.
 func Quantile(of []float64, part float64) float64 {
 	if len(of) == 0 {
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,80 @@
+package figures
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func sample() *Table {
+	return &Table{Name: "sample", Provenance: Provenance{Command: "gorselab serving", Revision: "abc", Date: "2026-12-02",
+		Cores: 8, Machine: "alone", Repeats: 2},
+		Rows: []Row{{1, Real, "connections", 1000, "rest", "node.memory", "B", 1.5e7},
+			{2, Virtual, "nodes", 860, "rest", "node.cpu", "us/s", 47.25}}}
+}
+
+func TestTableIsReadAsItWasWritten(t *testing.T) {
+	want := sample()
+	got, err := Parse("sample", want.CSV())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("read\n%+v\nwritten\n%+v", got, want)
+	}
+}
+
+func TestHereNamesEveryPartOfTheProvenance(t *testing.T) {
+	if key := Here("gorselab", "alone", 1).missing(); key != "" {
+		t.Errorf("%s is missing", key)
+	}
+}
+
+func TestWrongTablesAreRefused(t *testing.T) {
+	good := string(sample().CSV())
+	for name, c := range map[string]struct{ from, to, want string }{
+		"no revision":   {"# revision: abc\n", "", "revision is missing"},
+		"no repeats":    {"# repeats: 2", "# repeats: 0", "repeats is missing"},
+		"wrong cores":   {"# cores: 8", "# cores: many", "cores"},
+		"other columns": {"unit,value", "value,unit", "the first row"},
+		"no number":     {"47.25", "fast", "figure 2"},
+		"not finite":    {"47.25", "NaN", "figure 2"},
+		"source":        {"virtual", "guessed", `unknown source "guessed"`},
+		"empty column":  {"node.memory", "", "an empty column"},
+		"short row":     {",47.25", "", "wrong number of fields"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(good, c.from, c.to, 1)
+			if text == good {
+				t.Fatal("nothing was changed")
+			}
+			if _, err := Parse("sample", []byte(text)); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestReadDirGivesTablesByName(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"a.csv", "b.csv", "c.txt"} {
+		if err := os.WriteFile(filepath.Join(dir, name), sample().CSV(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tables, err := ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(tables) != 2 || tables["a"].Name != "a" || len(tables["b"].Rows) != 2 {
+		t.Errorf("read %v", tables)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "d.csv"), []byte("run\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadDir(dir); err == nil {
+		t.Error("a table without provenance was taken")
+	}
+}
