serving: what one real node spends on connections, flows, deliveries, bursts

The plan asks for 52,300 connections, 11,400 deliveries a second and 477 listeners of one topic at a node; only a flow and a line had been measured.

gorselab serving starts the built program with stand-ins on loopback and measures its process alone, in steps, into serving.csv. rig.StartSingle is what gorselab cost did by itself.

--- a/cmd/gorselab/main.go
+++ b/cmd/gorselab/main.go
@@ -39,7 +39,7 @@
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "gorselab", Short: "Plays fleets on a virtual clock and keeps what came of it (simulated)",
 		SilenceUsage: true, SilenceErrors: true}
-	top.AddCommand(emulate(), sweep(), compare(), fleet(), membersCommand(), cost())
+	top.AddCommand(emulate(), sweep(), compare(), fleet(), membersCommand(), cost(), servingCommand())
 	return top
 }
 
--- a/internal/rig/cost.go
+++ b/internal/rig/cost.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
-	"syscall"
 	"time"
 
 	"gorseledge/internal/rig/standin"
 )
 
+// costLimits are those of the rig's nodes.
+var costLimits = Limits{Cores: 1, MemoryMB: 128, Sockets: 512}
+
 // Cost is the CPU time of a node's process, user and system, in microseconds.
 type Cost struct {
 	Start float64 // from its start to its end, with one flow
@@ -91,35 +90,17 @@
 		return 0, err
 	}
 	defer hosts.Close()
-	roster := standin.StartDiscovery()
-	defer roster.Close()
-	roster.Tell(hosts.List(1))
-	n := &node{}
-	if n.client, err = free(0); err != nil {
-		return 0, err
-	}
-	c := config(n, roster.Address(), "", 1, 1)
-	c["known"] = hosts.List(1) // none of them is new
-	text, err := json.Marshal(c)
+	n, err := StartSingle(ctx, program, dir, hosts, costLimits)
 	if err != nil {
 		return 0, err
 	}
-	path := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return 0, err
-	}
-	cmd := exec.CommandContext(ctx, program)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "TMPDIR="+dir)
-	if err := cmd.Start(); err != nil {
-		return 0, err
-	}
-	defer cmd.Process.Kill()
+	defer n.Kill()
 	// flow plays one that is established; a node that has just begun takes few.
 	id := 0
 	flow := func(lines int) (f standin.Flow, err error) {
 		for from := time.Now(); ; {
 			id++
-			f = standin.Play(ctx, n.client, fmt.Sprintf("%08x", id), 7, timeout, grace, lines, 0)
+			f = standin.Play(ctx, n.Client, fmt.Sprintf("%08x", id), 7, timeout, grace, lines, 0)
 			if f.Answer == standin.Up {
 				return f, nil
 			}
@@ -148,10 +129,5 @@
 	case <-time.After(load.Idle):
 	case <-ctx.Done():
 	}
-	cmd.Process.Signal(syscall.SIGTERM)
-	if err := cmd.Wait(); err != nil {
-		return 0, err
-	}
-	s := cmd.ProcessState
-	return float64((s.UserTime() + s.SystemTime()).Microseconds()), nil
+	return n.Leave()
 }
--- /dev/null
+++ b/internal/rig/single.go
@@ -0,0 +1,80 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"gorseledge/internal/rig/standin"
+)
+
+// Limits are what a node's process may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Single is one node's process without a fleet, alone with the hosts that it is given.
+type Single struct {
+	Client    string // the address that clients connect to
+	cmd       *exec.Cmd
+	discovery *standin.Discovery
+}
+
+// StartSingle starts the built program; it knows the hosts from its start, so none of them is new. The directory has to
+// be there and takes its config. An end of the context ends the process.
+func StartSingle(ctx context.Context, program, dir string, hosts *standin.Hosts, limits Limits) (*Single, error) {
+	n := &node{}
+	var err error
+	if n.client, err = free(0); err != nil {
+		return nil, err
+	}
+	s := &Single{Client: n.client, discovery: standin.StartDiscovery()}
+	s.discovery.Tell(hosts.List(1))
+	c := config(n, s.discovery.Address(), "", 1, 1)
+	c["known"], c["limits"] = hosts.List(1), limits
+	text, err := json.Marshal(c)
+	path := filepath.Join(dir, "config.json")
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
+	}
+	if err == nil {
+		s.cmd = exec.CommandContext(ctx, program)
+		s.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "TMPDIR="+dir)
+		err = s.cmd.Start()
+	}
+	if err != nil {
+		s.discovery.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Pid is the process's number.
+func (s *Single) Pid() int { return s.cmd.Process.Pid }
+
+// Leave asks the node to leave, waits for its end and gives the processor time of its whole life, user and system, in
+// microseconds.
+func (s *Single) Leave() (us float64, err error) {
+	defer s.discovery.Close()
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	if err := s.cmd.Wait(); err != nil {
+		return 0, err
+	}
+	state := s.cmd.ProcessState
+	return float64((state.UserTime() + state.SystemTime()).Microseconds()), nil
+}
+
+// Kill ends the node at once and waits for it. It does nothing after Leave.
+func (s *Single) Kill() {
+	if s.cmd.ProcessState != nil {
+		return
+	}
+	s.cmd.Process.Kill()
+	s.cmd.Wait() // it was killed: what it says of that is no news
+	s.discovery.Close()
+}
--- a/internal/rig/standin/standin.go
+++ b/internal/rig/standin/standin.go
@@ -24,12 +24,13 @@
 	listeners []net.Listener
 	mu        sync.Mutex
 	conns     map[net.Conn]bool
+	flows     map[string]net.Conn // by the id of the first line
 	group     sync.WaitGroup
 }
 
 // StartHosts starts that many.
 func StartHosts(n int) (*Hosts, error) {
-	h := &Hosts{conns: map[net.Conn]bool{}}
+	h := &Hosts{conns: map[net.Conn]bool{}, flows: map[string]net.Conn{}}
 	for i := range n {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -70,6 +71,8 @@
 		}
 		switch {
 		case strings.HasPrefix(line, "OPEN "):
+			id := h.begin(c, line)
+			defer h.end(c, id)
 			line = fmt.Sprintf("UP h%d\r\n", i)
 		case strings.HasPrefix(line, "PING"), strings.HasPrefix(line, "STATS"):
 			line = "PONG\r\n"
