capacity: what each role costs at the planned size, from committed figures

Nothing said which line of the two years' plan breaks first, and figures in pages were copied by hand.

A measure of gorselab serving during which the machine stood still is void and taken again.

--- a/cmd/gorselab/main.go
+++ b/cmd/gorselab/main.go
@@ -21,8 +21,9 @@
 	err := root().ExecuteContext(ctx)
 	stop()
 	var broken brokenRules
+	var different differs
 	switch {
-	case errors.As(err, &broken):
+	case errors.As(err, &broken), errors.As(err, &different):
 		fmt.Fprintln(os.Stderr, "gorselab:", err)
 		os.Exit(1)
 	case err != nil:
@@ -39,7 +40,7 @@
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "gorselab", Short: "Plays fleets on a virtual clock and keeps what came of it (simulated)",
 		SilenceUsage: true, SilenceErrors: true}
-	top.AddCommand(emulate(), sweep(), compare(), fleet(), membersCommand(), cost(), servingCommand())
+	top.AddCommand(emulate(), sweep(), compare(), fleet(), membersCommand(), cost(), servingCommand(), capacityCommand())
 	return top
 }
 
--- a/cmd/gorselab/serving.go
+++ b/cmd/gorselab/serving.go
@@ -58,6 +58,7 @@
 	f.Float64Var(&o.Cores, "cores", 1, "processors that the node may use at once")
 	f.IntVar(&o.Repeats, "repeats", 3, "of all steps, each at nodes of its own")
 	f.DurationVar(&o.Window, "window", 5*time.Second, "of a measure at rest or at a rate")
+	f.DurationVar(&o.Stall, "stall", 500*time.Millisecond, "of the machine; a measure with a longer one is taken again")
 	f.IntVar(&o.LineBytes, "line", 100, "bytes of a delivered line, with its end")
 	f.IntSliceVar(&o.Connections, "connections", []int{1000, 2000, 4000, 8000, 16000}, "connections held; what does not fit is as many as fit")
 	f.IntSliceVar(&o.Flows, "flows", []int{250, 500, 1000, 2000}, "flows that come and go")
--- a/cmd/gorselab/table.go
+++ b/cmd/gorselab/table.go
@@ -30,9 +30,20 @@
 	if f.path == "" {
 		return nil
 	}
+	table.Machine += "; load at the end " + load()
 	return lab.Keep(f.path, table.CSV())
 }
 
+// load is what the machine had to do of late: the mean number of processes that want a processor over a minute, five and
+// fifteen.
+func load() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if words := strings.Fields(string(text)); err == nil && len(words) > 3 {
+		return strings.Join(words[:3], " ")
+	}
+	return "not known"
+}
+
 // withoutPlace leaves out of a command's arguments what says where its figures go and how the machine was: neither
 // changes what is measured.
 func withoutPlace(args []string) (out []string) {
--- /dev/null
+++ b/internal/capacity/fit_test.go
@@ -0,0 +1,112 @@
+package capacity
+
+import (
+	"errors"
+	"math"
+	"testing"
+)
+
+func near(t *testing.T, what string, got, want, within float64) {
+	t.Helper()
+	if !(math.Abs(got-want) <= within) {
+		t.Errorf("%s is %v, want %v", what, got, want)
+	}
+}
+
+// Anscombe's first set: the line is known to be 3.00 + 0.500 x, with R2 0.667 and an error of the slope of 0.118.
+func TestLineThroughAnscombesFirstSet(t *testing.T) {
+	x := []float64{10, 8, 13, 9, 11, 14, 6, 4, 12, 7, 5}
+	y := []float64{8.04, 6.95, 7.58, 8.81, 8.33, 9.96, 7.24, 4.26, 10.84, 4.82, 5.68}
+	l, err := fitLine(together(x, y))
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "slope", l.slope, 0.5001, 1e-4)
+	near(t, "intercept", l.intercept, 3.0001, 1e-4)
+	near(t, "error of the slope", l.slopeError, 0.1179, 1e-4)
+	near(t, "R2", l.determination, 0.6665, 1e-4)
+	near(t, "deviation", l.deviation, 1.2366, 1e-4)
+	if l.bends() {
+		t.Errorf("a bend of %v with an error of %v is taken for sure", l.bend, l.bendError)
+	}
+}
+
+// Anscombe's second set has the same line, and is a parabola.
+func TestBendOfAnscombesSecondSet(t *testing.T) {
+	x := []float64{10, 8, 13, 9, 11, 14, 6, 4, 12, 7, 5}
+	y := []float64{9.14, 8.14, 8.74, 8.77, 9.26, 8.10, 6.13, 3.10, 9.13, 7.26, 4.74}
+	l, err := fitLine(together(x, y))
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "slope", l.slope, 0.5, 1e-3)
+	near(t, "bend", l.bend, -0.1267, 1e-4)
+	if !l.bends() || l.slopeChange() >= 0 {
+		t.Errorf("bends %v, by %v; the slope falls", l.bends(), l.slopeChange())
+	}
+}
+
+func together(x, y []float64) (out []point) {
+	for i := range x {
+		out = append(out, point{x[i], y[i]})
+	}
+	return out
+}
+
+func TestExactLineHasNoError(t *testing.T) {
+	var points []point
+	for _, x := range []float64{1, 2, 4, 8} {
+		points = append(points, point{x, 7 + 3*x})
+	}
+	l, err := fitLine(points)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, deviation := l.at(100)
+	near(t, "slope", l.slope, 3, 1e-12)
+	near(t, "at 100", at, 307, 1e-9)
+	near(t, "error at 100", deviation, 0, 1e-9)
+	near(t, "largest residual", l.largest, 0, 1e-12)
+	near(t, "R2", l.determination, 1, 1e-12)
+	if l.from != 1 || l.to != 8 {
+		t.Errorf("sizes %v to %v", l.from, l.to)
+	}
+}
+
+// A cost that grows with the square of the size is found out, also where R2 is close to 1.
+func TestSquareGrowsInItsSlope(t *testing.T) {
+	var points []point
+	for _, x := range []float64{50, 100, 215, 430, 860} {
+		for _, noise := range []float64{-1, 1} {
+			points = append(points, point{x, 10*x + 0.01*x*x + noise})
+		}
+	}
+	l, err := fitLine(points)
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "bend", l.bend, 0.01, 1e-4)
+	if !l.bends() || l.determination < 0.98 {
+		t.Errorf("bends %v with R2 %v", l.bends(), l.determination)
+	}
+}
+
+func TestConstantCostHasNoSlope(t *testing.T) {
+	l, err := fitLine([]point{{1, 5}, {2, 5}, {3, 5}, {4, 5}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "slope", l.slope, 0, 0)
+	near(t, "R2", l.determination, 1, 0)
+	if l.bends() {
+		t.Error("a constant bends")
+	}
+}
+
+func TestTooFewFiguresGiveNoLine(t *testing.T) {
+	for _, points := range [][]point{nil, {{1, 1}, {2, 2}}, {{3, 1}, {3, 2}, {3, 3}}} {
+		if _, err := fitLine(points); !errors.Is(err, errTooFew) {
+			t.Errorf("%v: %v", points, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/page.go
@@ -0,0 +1,121 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"gorseledge/internal/figures"
+)
+
+const (
+	pageFile = "CAPACITY.md"
+	planFile = "capacity/plan.toml"
+	figured  = "capacity" // directory of the figures
+	charts   = "charts"
+)
+
+// capacity is a plan with what its rows come to.
+type capacity struct {
+	plan     *Plan
+	measured map[string]*figures.Table
+	results  []result
+}
+
+// Build gives the page with its tables, and the charts, by their path below the directory of the docs.
+func Build(docs string) (files map[string][]byte, err error) {
+	c := &capacity{}
+	if c.plan, err = ReadPlan(filepath.Join(docs, planFile)); err != nil {
+		return nil, err
+	}
+	if c.measured, err = figures.ReadDir(filepath.Join(docs, figured)); err != nil {
+		return nil, err
+	}
+	quantities := c.plan.quantities()
+	for _, row := range c.plan.Rows {
+		r, err := row.reckon(quantities, c.measured)
+		if err != nil {
+			return nil, err
+		}
+		c.results = append(c.results, r)
+	}
+	page, err := os.ReadFile(filepath.Join(docs, pageFile))
+	if err != nil {
+		return nil, err
+	}
+	if page, err = fill(page, c.tables()); err != nil {
+		return nil, fmt.Errorf("%s: %w", pageFile, err)
+	}
+	files = map[string][]byte{pageFile: page}
+	for _, d := range c.drawings() {
+		if files[filepath.Join(charts, d.file())], err = d.svg(); err != nil {
+			return nil, err
+		}
+	}
+	return files, nil
+}
+
+var marked = regexp.MustCompile(`(?s)<!-- table: (\w+) -->\n(.*?)<!-- end of table -->`)
+
+// fill writes tables between their marks. Each has to have its mark once, and no mark another table.
+func fill(page []byte, tables map[string]string) ([]byte, error) {
+	seen := map[string]bool{}
+	var wrong error
+	page = marked.ReplaceAllFunc(page, func(old []byte) []byte {
+		name := string(marked.FindSubmatch(old)[1])
+		text, known := tables[name]
+		if !known || seen[name] {
+			wrong = fmt.Errorf("the mark of table %q stands for none, or twice", name)
+		}
+		seen[name] = true
+		return fmt.Appendf(nil, "<!-- table: %s -->\n%s<!-- end of table -->", name, text)
+	})
+	for _, name := range slices.Sorted(maps.Keys(tables)) {
+		if !seen[name] && wrong == nil {
+			wrong = fmt.Errorf("no mark for table %q", name)
+		}
+	}
+	return page, wrong
+}
+
+// Differences tells which files are not as they should be: the page by its text, a chart by the figures that it was drawn
+// from. A chart that nothing draws any more is one as well.
+func Differences(docs string, files map[string][]byte) (out []string, err error) {
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		there, err := os.ReadFile(filepath.Join(docs, name))
+		if err != nil && !os.IsNotExist(err) {
+			return nil, err
+		}
+		if !bytes.Equal(compared(name, there), compared(name, files[name])) {
+			out = append(out, name)
+		}
+	}
+	gone, err := stale(docs, files)
+	return append(out, gone...), err
+}
+
+// stale gives the charts that nothing draws any more.
+func stale(docs string, files map[string][]byte) (out []string, err error) {
+	paths, err := filepath.Glob(filepath.Join(docs, charts, chartPrefix+"*.svg"))
+	for _, path := range paths {
+		name := filepath.Join(charts, filepath.Base(path))
+		if files[name] == nil {
+			out = append(out, name)
+		}
+	}
+	return out, err
+}
+
+// compared is the part of a file that has to be the same: all of the page, a chart's last line.
+func compared(name string, text []byte) []byte {
+	if !strings.HasSuffix(name, ".svg") {
+		return text
+	}
+	text = bytes.TrimRight(text, "\n")
+	return text[bytes.LastIndexByte(text, '\n')+1:]
+}
--- /dev/null
+++ b/internal/capacity/quantities.go
@@ -0,0 +1,108 @@
+package capacity
+
+const (
+	secondsADay   = 86400
+	changesAtOnce = 10 // in ten seconds, for which the plan's page says to plan
+)
+
+// planned is one figure of the plan.
+type planned struct {
+	key, text string
+	value     float64
+	unit      string
+}
+
+// figures gives the plan in its own order.
+func (s Size) figures() []planned {
+	return []planned{
+		{"nodes", "nodes", s.Nodes, "1"},
+		{"connections", "connections", s.Connections, "1"},
+		{"shards", "shards of topics", s.Shards, "1"},
+		{"largest_topic_listeners", "listeners of the largest topic", s.LargestTopic, "1"},
+		{"deliveries_per_s", "deliveries a second", s.Deliveries, "1/s"},
+		{"delivery_within_s", "a delivery within", s.DeliveryWithin, "s"},
+		{"delivery_part", "for this part of them", s.DeliveryPart, "1"},
+		{"regions", "regions", s.Regions, "1"},
+		{"zones", "zones", s.Zones, "1"},
+		{"changes_a_day", "changes of configuration a day", s.ChangesADay, "1"},
+		{"change_in_force_within_s", "a change in force everywhere within", s.ChangeWithin, "s"},
+		{"control_part_of_a_core", "control at a node: part of a core", s.ControlCore, "1"},
+		{"control_memory_bytes", "control at a node: memory", s.ControlMemory, "B"},
+		{"control_bytes_per_s", "control at a node: bytes a second", s.ControlBytes, "B/s"},
+		{"control_machines", "machines for control", s.ControlMachines, "1"},
+		{"machine_failures_a_day", "machines that fail on a day", s.FailuresADay, "1"},
+		{"restarts_a_day", "machines restarted or replaced on a day", s.RestartsADay, "1"},
+		{"region_cut_s", "regions lose each other for", s.RegionCutFor, "s"},
+	}
+}
+
+// named is a quantity under the name that rows call it by.
+type named struct {
+	name, text string
+	quantity
+}
+
+// rackNodes is the assumption of how many nodes a rack has.
+const rackNodes = "nodes_a_rack"
+
+// assumed gives the figure of an assumption, 0 where it is not made.
+func (p *Plan) assumed(name string) float64 {
+	for _, a := range p.Assumed {
+		if a.Name == name {
+			return a.Value
+		}
+	}
+	return 0
+}
+
+// derived gives what follows from the plan by division.
+func (p *Plan) derived() []named {
+	s := p.Size
+	left := s.Nodes * (s.Zones - 1) / s.Zones
+	rack := p.assumed(rackNodes)
+	return []named{
+		{"connections_a_node", "connections a node", quantity{s.Connections / s.Nodes, "1", "connections / nodes"}},
+		{"deliveries_a_node", "deliveries a second and node", quantity{s.Deliveries / s.Nodes, "1/s", "deliveries / nodes"}},
+		{"listeners_a_node", "listeners of the largest topic a node", quantity{s.LargestTopic / s.Nodes, "1", "listeners / nodes"}},
+		{"shards_a_node", "shards a node, if spread evenly", quantity{s.Shards / s.Nodes, "1", "shards / nodes"}},
+		{"nodes_a_zone", "nodes a zone", quantity{s.Nodes / s.Zones, "1", "nodes / zones"}},
+		{"nodes_a_region", "nodes a region", quantity{s.Nodes / s.Regions, "1", "nodes / regions"}},
+		{"nodes_a_control_machine", "nodes that follow one control machine",
+			quantity{s.Nodes / s.ControlMachines, "1", "nodes / control machines"}},
+		{"nodes_after_a_control_machine", "nodes that follow one control machine while one is down",
+			quantity{s.Nodes / (s.ControlMachines - 1), "1", "nodes / (control machines - 1)"}},
+		{"clients_of_a_node_to_each_other", "clients of a lost node, to each node left",
+			quantity{s.Connections / s.Nodes / (s.Nodes - 1), "1", "connections a node / (nodes - 1)"}},
+		{"clients_of_a_rack_to_each_other", "clients of a lost rack, to each node left",
+			quantity{rack * s.Connections / s.Nodes / (s.Nodes - rack), "1", "nodes a rack (assumed) x connections a node / nodes left"}},
+		{"clients_of_a_zone", "clients of a zone", quantity{s.Connections / s.Zones, "1", "connections / zones"}},
+		{"clients_of_a_zone_to_each_other", "clients of a lost zone, to each node left",
+			quantity{s.Connections / s.Zones / left, "1", "clients of a zone / nodes left"}},
+		{"restarted_clients_a_second", "clients that come again by restarts, a second in the mean",
+			quantity{s.RestartsADay * s.Connections / s.Nodes / secondsADay, "1/s", "restarts x connections a node / 86,400 s"}},
+		{"restarted_clients_a_second_and_node", "the same, to each node",
+			quantity{s.RestartsADay * s.Connections / s.Nodes / secondsADay / s.Nodes, "1/s", "the same / nodes"}},
+		{"bytes_a_change", "bytes that a node's budget gives a change",
+			quantity{s.ControlBytes * s.ChangeWithin, "B", "control bytes a second x 6 s"}},
+		{"control_cpu", "processor time for control a node", quantity{1e6 * s.ControlCore, "us/s", "part of a core"}},
+		{"control_memory", "memory for control a node", quantity{s.ControlMemory, "B", ""}},
+		{"control_bytes", "bytes for control a node and second", quantity{s.ControlBytes, "B/s", ""}},
+		{"delivery_within", "a delivery within", quantity{s.DeliveryWithin, "s", ""}},
+		{"change_within", "a change in force everywhere within", quantity{s.ChangeWithin, "s", ""}},
+		{"nodes", "nodes", quantity{s.Nodes, "1", ""}},
+		{"shards", "shards", quantity{s.Shards, "1", ""}},
+		{"changes_at_once", "changes in ten seconds", quantity{changesAtOnce, "1", "plan's page: plan for ten in ten seconds"}},
+	}
+}
+
+// quantities gives all that a row may name: what follows from the plan, and what is assumed.
+func (p *Plan) quantities() map[string]quantity {
+	out := map[string]quantity{}
+	for _, d := range p.derived() {
+		out[d.name] = d.quantity
+	}
+	for _, a := range p.Assumed {
+		out[a.Name] = quantity{a.Value, a.Unit, "assumed"}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/capacity/result_test.go
@@ -0,0 +1,181 @@
+package capacity
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"gorseledge/internal/figures"
+)
+
+// measured gives a table of one cost: 100 bytes and 50 more a node, with a little scatter that no line explains.
+func measured(sizes ...float64) map[string]*figures.Table {
+	t := &figures.Table{Name: "rest", Provenance: figures.Provenance{Command: "c", Revision: "r", Date: "d", Cores: 1, Machine: "m",
+		Repeats: 2}}
+	for _, size := range sizes {
+		for run, scatter := range []float64{-5, 5} {
+			t.Add(figures.Row{Run: run + 1, Source: figures.Virtual, Dimension: "nodes", Size: size, Phase: "rest",
+				Cost: "node.memory", Unit: "B", Value: 100 + 50*size + scatter})
+		}
+	}
+	return map[string]*figures.Table{"rest": t}
+}
+
+func memoryRow() Row {
+	return Row{Group: "node_control", Name: "memory", Mechanism: "a table", Size: "nodes", Per: "a node", Budget: "memory",
+		From: &From{Table: "rest", Source: "virtual", Dimension: "nodes", Phase: "rest", Cost: "node.memory"}}
+}
+
+var someQuantities = map[string]quantity{"nodes": {860, "1", ""}, "memory": {86e3, "B", ""}, "seconds": {6, "s", ""}}
+
+func TestFittedRowAtThePlannedSize(t *testing.T) {
+	r, err := memoryRow().reckon(someQuantities, measured(100, 200, 400))
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "value", r.value, 43100, 1e-6)
+	near(t, "slope", r.slope, 50, 1e-9)
+	part, _ := r.part()
+	near(t, "part of the budget", part, 43100/86e3, 1e-9)
+	reach, _ := r.reach()
+	near(t, "size at which the budget ends", reach, (86e3-100)/50, 1e-6)
+	cells := strings.Join(r.cells(), " | ")
+	for _, want := range []string{"50 B a node ±", "`rest`, virtual, 6 figures, R2 1, largest residual 5 B",
+		"43.1 kB ±", "at 860", "86 kB", "50.1%", "extrapolated 2.15 times, from 400", "steady"} {
+		if !strings.Contains(cells, want) {
+			t.Errorf("no %q in\n%s", want, cells)
+		}
+	}
+}
+
+func TestValueWithinTheMeasuredSizesIsNotExtrapolated(t *testing.T) {
+	r, err := memoryRow().reckon(someQuantities, measured(100, 400, 900))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := r.how(); got != "measured from 100 to 900" {
+		t.Errorf("how it was got: %s", got)
+	}
+}
+
+func TestCostThatDoesNotGrowHasNoEnd(t *testing.T) {
+	tables := measured(100, 200, 400)
+	for i := range tables["rest"].Rows {
+		tables["rest"].Rows[i].Value -= 50 * tables["rest"].Rows[i].Size
+	}
+	r, err := memoryRow().reckon(someQuantities, tables)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reach, known := r.reach(); !known || !math.IsInf(reach, 1) || r.itself() != "does not grow" {
+		t.Errorf("reaches %v (%v), %s", reach, known, r.itself())
+	}
+}
+
+func TestMeasuredAtTheSizeIsTheMedianThere(t *testing.T) {
+	row := memoryRow()
+	row.From.At = true
+	r, err := row.reckon(someQuantities, measured(430, 860))
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "value", r.value, 43100, 0)
+	if _, err := row.reckon(someQuantities, measured(430)); err == nil || !strings.Contains(err.Error(), "no figure at 860") {
+		t.Errorf("without a figure at the size: %v", err)
+	}
+}
+
+// What is added to something that is there costs the slope each; what there is without any of it is not in it. What comes
+// so many times a second costs that each second.
+func TestWhatIsAddedIsSlopeTimesSize(t *testing.T) {
+	for _, c := range []struct{ sizeUnit, unit string }{{"1", "B"}, {"1/s", "B/s"}} {
+		row := memoryRow()
+		row.From.SlopeOnly, row.Budget = true, ""
+		r, err := row.reckon(map[string]quantity{"nodes": {860, c.sizeUnit, ""}}, measured(100, 200, 400))
+		if err != nil {
+			t.Fatal(err)
+		}
+		near(t, "value", r.value, 43000, 1e-6)
+		if r.unit != c.unit || r.slopeUnit != "B" || r.how() != "slope measured from 100 to 400" {
+			t.Errorf("%s, %s, %s", r.unit, r.slopeUnit, r.how())
+		}
+	}
+}
+
+func TestReckonedRowIsCalledAssumed(t *testing.T) {
+	row := memoryRow()
+	row.From, row.Reckoned = nil, &Reckoned{Slope: 60, Unit: "B", Basis: "the page of another"}
+	r, err := row.reckon(someQuantities, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	near(t, "value", r.value, 51600, 0)
+	if got := r.how(); got != "assumed: the page of another" {
+		t.Errorf("how it was got: %s", got)
+	}
+}
+
+func TestRowWithoutMechanismReachesNothing(t *testing.T) {
+	row := memoryRow()
+	row.From, row.Mechanism = nil, "none yet: a snapshot and deltas"
+	r, err := row.reckon(someQuantities, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reach, known := r.reach(); reach != 0 || !known || r.carried() {
+		t.Errorf("reaches %v (%v), carried %v", reach, known, r.carried())
+	}
+}
+
+func TestRowsWithoutFiguresAreRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Row, map[string]*figures.Table)
+		want   string
+	}{
+		"no table":       {func(r *Row, _ map[string]*figures.Table) { r.From.Table = "gone" }, "no table gone.csv"},
+		"no such cost":   {func(r *Row, _ map[string]*figures.Table) { r.From.Cost = "node.hope" }, "has no figure"},
+		"another source": {func(r *Row, _ map[string]*figures.Table) { r.From.Source = "real" }, "has no figure"},
+		"other unit":     {func(r *Row, _ map[string]*figures.Table) { r.Budget = "seconds" }, "a budget in s for a cost in B"},
+		"two units": {func(_ *Row, tables map[string]*figures.Table) { tables["rest"].Rows[0].Unit = "kB" },
+			"in kB and in B"},
+		"one size": {func(_ *Row, tables map[string]*figures.Table) { tables["rest"].Rows = tables["rest"].Rows[:2] },
+			errTooFew.Error()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			row, tables := memoryRow(), measured(100, 200, 400)
+			c.change(&row, tables)
+			if _, err := row.reckon(someQuantities, tables); err == nil || !strings.Contains(err.Error(), c.want) ||
+				!strings.Contains(err.Error(), "node_control, memory") {
+				t.Errorf("%v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestFiguresAreWrittenWithThreeDigits(t *testing.T) {
+	for _, c := range []struct {
+		x    float64
+		unit string
+		want string
+	}{{52325.58, "1", "52,300"}, {0.013, "1", "0.013"}, {45e6, "1", "45,000,000"}, {2.4512e9, "B", "2.45 GB"}, {15e3, "B/s", "15 kB/s"},
+		{999, "B", "999 B"}, {455000, "us/s", "45.5% of a core"}, {0.43, "s", "430 ms"}, {6, "s", "6 s"}, {39.94, "us", "39.9 us"},
+		{1234567, "us", "1.23 s"}, {1500, "us", "1.5 ms"}, {6.4e-5, "s", "64 us"}, {121.1, "1/s", "121 a second"}, {-1234.5, "periods", "-1,230 periods"}, {0, "1", "0"},
+		{100, "1", "100"}, {1000, "1", "1,000"}} {
+		if got := in(c.x, c.unit); got != c.want {
+			t.Errorf("%v %s: %q, want %q", c.x, c.unit, got, c.want)
+		}
+	}
+}
+
+func TestRealAndHollowNodesStandBesideEachOther(t *testing.T) {
+	tables := measured(100)
+	for i, source := range []figures.Source{figures.Real, figures.Hollow} {
+		tables["rest"].Rows[i].Source = source
+	}
+	if text := sourcesTable(tables); !strings.Contains(text, "| node.memory, rest | 100 nodes | 5.09 kB | 5.11 kB | 1 |") {
+		t.Error(text)
+	}
+	if text := sourcesTable(measured(100)); !strings.Contains(text, "No cost was measured") {
+		t.Error(text)
+	}
+}
--- /dev/null
+++ b/internal/capacity/tables.go
@@ -0,0 +1,250 @@
+package capacity
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"gorseledge/internal/figures"
+)
+
+// groups are the tables of rows, in the page's order.
+var groups = []string{"serving", "node_control", "control_machines", "discovery", "clients_and_hosts", "failures"}
+
+// tables gives the text of each table of the page by its name.
+func (c *capacity) tables() map[string]string {
+	out := map[string]string{"plan": c.planTable(), "derived": c.derivedTable(), "assumed": c.assumedTable(),
+		"reach": c.reachTable(), "sources": sourcesTable(c.measured), "runs": runsTable(c.measured), "charts": c.chartsTable()}
+	for _, group := range groups {
+		out[group] = c.groupTable(group)
+	}
+	return out
+}
+
+func (c *capacity) planTable() string {
+	var rows [][]string
+	for _, f := range c.plan.Size.figures() {
+		rows = append(rows, []string{f.text, in(f.value, f.unit)})
+	}
+	return markdown([]string{"plan", "figure"}, rows)
+}
+
+func (c *capacity) derivedTable() string {
+	var rows [][]string
+	for _, d := range c.plan.derived() {
+		if strings.Contains(d.how, "/") || strings.Contains(d.how, " x ") {
+			rows = append(rows, []string{d.text, d.how, in(d.value, d.unit)})
+		}
+	}
+	return markdown([]string{"by division", "how", "figure"}, rows)
+}
+
+func (c *capacity) assumedTable() string {
+	var rows [][]string
+	for _, a := range c.plan.Assumed {
+		rows = append(rows, []string{strings.ReplaceAll(a.Name, "_", " "), in(a.Value, a.Unit), a.Why})
+	}
+	return markdown([]string{"assumed", "figure", "why"}, rows)
+}
+
+// groupTable gives the rows of one role.
+func (c *capacity) groupTable(group string) string {
+	var rows [][]string
+	for _, r := range c.results {
+		if r.Group == group {
+			rows = append(rows, r.cells())
+		}
+	}
+	return markdown([]string{"what", "carried by", "slope, ± its error", "run and fit", "at the planned size", "budget", "part used",
+		"measured, extrapolated or assumed", "the slope itself"}, rows)
+}
+
+// cells are a row's on the page.
+func (r result) cells() []string {
+	slope, fit, value, budget, part, how, itself := "-", "-", "-", "not stated", "-", "-", "-"
+	if r.budget.value > 0 {
+		budget = in(r.budget.value, r.budget.unit)
+		if r.budget.how == "assumed" {
+			budget += " (assumed)"
+		}
+	}
+	if used, known := r.part(); known {
+		part = percent(used)
+	}
+	if r.figured {
+		value = fmt.Sprintf("%s at %s", in(r.value, r.unit), number(r.size.value))
+		how = r.how()
+	}
+	if r.Reckoned != nil {
+		slope, fit = r.slopeText(), "none"
+	}
+	if r.From != nil {
+		fit = fmt.Sprintf("`%s`, %s", r.From.Table, r.From.Source)
+	}
+	if r.fitted {
+		slope = fmt.Sprintf("%s ± %s", r.slopeText(), percent(math.Abs(r.line.slopeError/r.line.slope)))
+		value = fmt.Sprintf("%s ± %s at %s", in(r.value, r.unit), in(r.deviation, r.unit), number(r.size.value))
+		fit += fmt.Sprintf(", %d figures, R2 %s, largest residual %s", r.line.points, number(r.line.determination),
+			in(r.line.largest, r.measuredIn))
+		itself = r.itself()
+	}
+	name := r.Name
+	if r.Note != "" {
+		name += " (" + r.Note + ")"
+	}
+	return []string{name, r.Mechanism, slope, fit, value, budget, part, how, itself}
+}
+
+// slopeText is the slope with what it is for.
+func (r result) slopeText() string {
+	text := in(r.slope, r.slopeUnit)
+	if r.slopeUnit == "us/s" {
+		text = number(r.slope) + " us/s" // a part of a core is too small a figure for one more of something
+	}
+	if r.Per != "" {
+		text += " " + r.Per
+	}
+	return text
+}
+
+// how says whether the value was measured, extrapolated or assumed.
+func (r result) how() string {
+	switch {
+	case r.Reckoned != nil:
+		return "assumed: " + r.Reckoned.Basis
+	case r.From.At:
+		return fmt.Sprintf("measured at %s", number(math.Ceil(r.size.value)))
+	case r.From.SlopeOnly:
+		return fmt.Sprintf("slope measured from %s to %s", number(r.line.from), number(r.line.to))
+	case r.size.value <= r.line.to*1.0001 && r.size.value >= r.line.from:
+		return fmt.Sprintf("measured from %s to %s", number(r.line.from), number(r.line.to))
+	case r.size.value < r.line.from:
+		return fmt.Sprintf("extrapolated down from %s", number(r.line.from))
+	}
+	return fmt.Sprintf("extrapolated %s times, from %s", number(r.size.value/r.line.to), number(r.line.to))
+}
+
+// itself says whether the slope changes with the size.
+func (r result) itself() string {
+	change := r.line.slopeChange()
+	switch {
+	case r.flat():
+		return "does not grow"
+	case !r.line.enoughForABend:
+		return "too few sizes to tell"
+	case !r.line.bends():
+		return "steady"
+	case change > 0:
+		return fmt.Sprintf("rises by %s over the measured sizes", percent(change))
+	}
+	return fmt.Sprintf("falls by %s over the measured sizes", percent(min(-change, 1)))
+}
+
+// reachTable sorts the rows by the part of the planned size that they reach.
+func (c *capacity) reachTable() string {
+	type reached struct {
+		part float64
+		cell []string
+	}
+	var all []reached
+	for _, r := range c.results {
+		size, known := r.reach()
+		if !known {
+			continue
+		}
+		at, part, end := "-", 0.0, "no mechanism"
+		if r.carried() {
+			at, part, end = "no end seen", math.Inf(1), in(r.budget.value, r.budget.unit)
+			if !math.IsInf(size, 1) {
+				part = size / r.size.value
+				at = number(size)
+			}
+		}
+		planned := "-"
+		if r.size.value > 0 {
+			planned = number(r.size.value)
+		}
+		text := "none"
+		if part > 0 {
+			text = times(part)
+		}
+		if math.IsInf(part, 1) {
+			text = "-"
+		}
+		all = append(all, reached{part, []string{strings.ReplaceAll(r.Group, "_", " ") + ": " + r.Name, planned, at, text, end}})
+	}
+	slices.SortStableFunc(all, func(a, b reached) int {
+		switch {
+		case a.part < b.part:
+			return -1
+		case a.part > b.part:
+			return 1
+		}
+		return 0
+	})
+	var rows [][]string
+	for _, r := range all {
+		rows = append(rows, r.cell)
+	}
+	return markdown([]string{"line", "planned size", "budget is used up at", "part of the planned size", "budget"}, rows)
+}
+
+// sourcesTable sets real and hollow nodes beside each other where both were measured.
+func sourcesTable(measured map[string]*figures.Table) string {
+	type key struct {
+		dimension, phase, cost, unit string
+		size                         float64
+	}
+	found := map[key]map[figures.Source][]float64{}
+	var order []key
+	for _, name := range slices.Sorted(maps.Keys(measured)) {
+		for _, row := range measured[name].Rows {
+			k := key{row.Dimension, row.Phase, row.Cost, row.Unit, row.Size}
+			if found[k] == nil {
+				found[k] = map[figures.Source][]float64{}
+				order = append(order, k)
+			}
+			found[k][row.Source] = append(found[k][row.Source], row.Value)
+		}
+	}
+	var rows [][]string
+	for _, k := range order {
+		real, hollow := found[k][figures.Real], found[k][figures.Hollow]
+		if len(real) == 0 || len(hollow) == 0 {
+			continue
+		}
+		a, b := median(real), median(hollow)
+		ratio := "-"
+		if a != 0 {
+			ratio = number(b / a)
+		}
+		rows = append(rows, []string{fmt.Sprintf("%s, %s", k.cost, k.phase), number(k.size) + " " + k.dimension, in(a, k.unit),
+			in(b, k.unit), ratio})
+	}
+	if len(rows) == 0 {
+		return "No cost was measured on real and hollow nodes at the same size yet.\n"
+	}
+	return markdown([]string{"cost, phase", "size", "real", "hollow", "hollow / real"}, rows)
+}
+
+// runsTable says where the figures come from.
+func runsTable(measured map[string]*figures.Table) string {
+	var rows [][]string
+	for _, name := range slices.Sorted(maps.Keys(measured)) {
+		t := measured[name]
+		rows = append(rows, []string{"`" + name + "`", "`" + t.Command + "`", t.Revision, t.Date, fmt.Sprint(t.Cores), t.Machine,
+			fmt.Sprint(t.Repeats), fmt.Sprint(len(t.Rows))})
+	}
+	return markdown([]string{"run", "command", "revision", "date", "cores", "machine", "repeats", "figures"}, rows)
+}
+
+// chartsTable names the charts.
+func (c *capacity) chartsTable() string {
+	var rows [][]string
+	for _, d := range c.drawings() {
+		rows = append(rows, []string{d.title(), fmt.Sprintf("[%s](charts/%s)", d.file(), d.file())})
+	}
+	return markdown([]string{"cost against size, with its line and what is left of it", "chart"}, rows)
+}
--- a/internal/emulator/members/chart.go
+++ b/internal/emulator/members/chart.go
@@ -1,7 +1,6 @@
 package members
 
 import (
-	"bytes"
 	"fmt"
 	"image/color"
 	"math"
@@ -10,8 +9,8 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"gorseledge/internal/chart"
 )
 
 // Core is what fleets of one core showed.
@@ -61,9 +60,5 @@
 		}
 	}
 	p.Legend.Left, p.Legend.Top = false, false
-	canvas := vgsvg.New(8*vg.Inch, 4.5*vg.Inch)
-	p.Draw(draw.New(canvas))
-	var text bytes.Buffer
-	_, err := canvas.WriteTo(&text)
-	return text.Bytes(), err
+	return chart.SVG(8*vg.Inch, 4.5*vg.Inch, p)
 }
--- a/internal/rig/timeline.go
+++ b/internal/rig/timeline.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"bytes"
 	"fmt"
 	"image/color"
 
@@ -9,7 +8,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"gorseledge/internal/chart"
 )
 
 var (
@@ -74,9 +74,5 @@
 		p.Legend.Add(state, s)
 	}
 	p.Legend.Top = true
-	canvas := vgsvg.New(10*vg.Inch, vg.Length(r.Nodes)*0.4*vg.Inch+1.5*vg.Inch)
-	p.Draw(draw.New(canvas))
-	var text bytes.Buffer
-	_, err := canvas.WriteTo(&text)
-	return text.Bytes(), err
+	return chart.SVG(10*vg.Inch, vg.Length(r.Nodes)*0.4*vg.Inch+1.5*vg.Inch, p)
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -5,6 +5,7 @@
 package serving
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -35,14 +36,15 @@
 	Repeats     int
 	Window      time.Duration // of a measure of connections at rest, and of a rate
 	LineBytes   int
-	Connections []int // as many as fit are added to them
-	Flows       []int // one after the other
-	Rates       []int // deliveries a second
-	Carriers    int   // connections that carry the rates
-	Listeners   []int // of a burst
-	Bursts      int   // of each number of listeners
-	Load        int   // deliveries a second beside the bursts with load
-	Loaded      int   // listeners of the bursts with load
+	Connections []int         // as many as fit are added to them
+	Flows       []int         // one after the other
+	Rates       []int         // deliveries a second
+	Carriers    int           // connections that carry the rates
+	Listeners   []int         // of a burst
+	Bursts      int           // of each number of listeners
+	Load        int           // deliveries a second beside the bursts with load
+	Loaded      int           // listeners of the bursts with load
+	Stall       time.Duration // of the machine; a measure with a longer one is void
 	Progress    func(line string)
 }
 
@@ -51,6 +53,8 @@
 	switch {
 	case o.Repeats < 1 || o.Bursts < 1 || o.Cores < 1:
 		return errors.New("repeats, bursts and cores go from 1 on")
+	case o.Stall < 2*beat:
+		return fmt.Errorf("a stall of %v is shorter than %v", o.Stall, 2*beat)
 	case o.Window < 100*time.Millisecond:
 		return fmt.Errorf("a window of %v is shorter than 100ms", o.Window)
 	case o.LineBytes < 32 || o.LineBytes > longestLine:
@@ -66,6 +70,7 @@
 	Options
 	table *figures.Table
 	most  int // connections that fit
+	void  int // measures during which the machine stood still
 }
 
 // Measure plays all steps and adds their figures to the table. Whatever happens, nothing that it started is left when it
@@ -78,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	r := &run{o, table, most}
+	r := &run{Options: o, table: table, most: most}
 	r.say("%d connections fit into the limit of open descriptors", most)
 	for repeat := 1; repeat <= o.Repeats; repeat++ {
 		for _, steps := range []func(context.Context, *bench, int) error{r.connections, r.traffic} {
@@ -87,6 +92,7 @@
 			}
 		}
 	}
+	r.table.Machine += fmt.Sprintf("; %d measures void, as the machine stood still for over %v", r.void, o.Stall)
 	return nil
 }
 
@@ -132,7 +138,7 @@
 	b.clients = &clients{node: b.node.Client, hosts: b.hosts, began: time.Now()}
 	defer b.clients.close()
 	if err := steps(ctx, b, repeat); err != nil {
-		return err
+		return cmp.Or(ctx.Err(), err) // an interrupt ends the node, which is an error of the steps' as well
 	}
 	if lost := b.clients.lost.Load(); lost > 0 {
 		return fmt.Errorf("%d connections ended before they were closed", lost)
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -40,7 +40,7 @@
 func small(t *testing.T) Options {
 	return Options{Program: program, Dir: t.TempDir(), Cores: 1, Repeats: 1, Window: 100 * time.Millisecond, LineBytes: 64,
 		Connections: []int{10, 30}, Flows: []int{5}, Carriers: 20, Rates: []int{500}, Listeners: []int{8}, Bursts: 3,
-		Loaded: 8, Load: 500}
+		Loaded: 8, Load: 500, Stall: time.Hour}
 }
 
 // value gives the one figure of a size, phase and cost.
@@ -128,6 +128,50 @@
 	}
 }
 
+// A measure during which the machine stood still leaves no figure, and is taken again.
+func TestMeasureWithAStallIsTakenAgain(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		stalled, taken, void int
+		wrong                bool
+	}{{"never", 0, 1, 0, false}, {"once", 1, 2, 1, false}, {"each time", mostAttempts, mostAttempts, mostAttempts, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := &run{Options: Options{Stall: time.Hour}, table: &figures.Table{}}
+			r.add(1, "flows", 1, "flows", "node.cpu_total", "us", 1) // of another measure
+			taken := 0
+			err := r.steady(t.Context(), "a measure", func() error {
+				r.Stall = time.Hour
+				if taken++; taken <= c.stalled {
+					r.Stall = -time.Hour // whatever there was is longer
+				}
+				r.add(1, "flows", 2, "flows", "node.cpu_total", "us", float64(taken))
+				return nil
+			})
+			rows := 2
+			if c.wrong {
+				rows = 1
+			}
+			if (err != nil) != c.wrong || taken != c.taken || r.void != c.void || len(r.table.Rows) != rows {
+				t.Errorf("%v: taken %d times, %d void, figures %v", err, taken, r.void, r.table.Rows)
+			}
+			if !c.wrong && r.table.Rows[1].Value != float64(c.taken) {
+				t.Errorf("kept %v, want the last measure's figure", r.table.Rows[1])
+			}
+		})
+	}
+}
+
+func TestLongestStallIsKept(t *testing.T) {
+	began := time.Unix(1000, 0)
+	s := stalls{last: began}
+	for _, at := range []time.Duration{beat, 3 * beat, 4 * beat, time.Second, time.Second + beat} {
+		s.beat(began.Add(at))
+	}
+	if want := time.Second - 5*beat; s.longest != want {
+		t.Errorf("longest %v, want %v", s.longest, want)
+	}
+}
+
 func TestStepsThatDoNotFitAreAsManyAsFit(t *testing.T) {
 	for _, c := range []struct{ asked, want []int }{
 		{[]int{1000, 2000}, []int{1000, 2000}},
@@ -151,6 +195,7 @@
 		"short window":   func(o *Options) { o.Window = time.Millisecond },
 		"short line":     func(o *Options) { o.LineBytes = 8 },
 		"long line":      func(o *Options) { o.LineBytes = longestLine + 1 },
+		"no stall":       func(o *Options) { o.Stall = 0 },
 		"nobody is left": func(o *Options) { o.Loaded = o.Carriers },
 	} {
 		o := small(t)
--- a/internal/serving/traffic.go
+++ b/internal/serving/traffic.go
@@ -20,8 +20,11 @@
 
 // traffic measures flows, deliveries at a rate, and bursts of one line to many clients.
 func (r *run) traffic(ctx context.Context, b *bench, repeat int) error {
-	if err := r.flows(ctx, b, repeat); err != nil {
-		return err
+	for _, size := range r.Flows {
+		what := fmt.Sprintf("repeat %d: %d flows", repeat, size)
+		if err := r.steady(ctx, what, func() error { return r.flows(ctx, b, repeat, size) }); err != nil {
+			return err
+		}
 	}
 	if err := b.clients.grow(ctx, r.Carriers); err != nil {
 		return err
@@ -30,16 +33,19 @@
 		return err
 	}
 	for _, rate := range r.Rates {
-		if err := r.rate(ctx, b, repeat, rate); err != nil {
+		what := fmt.Sprintf("repeat %d: %d deliveries a second", repeat, rate)
+		if err := r.steady(ctx, what, func() error { return r.rate(ctx, b, repeat, rate) }); err != nil {
 			return err
 		}
 	}
 	for _, listeners := range r.Listeners {
-		if err := r.bursts(ctx, b, repeat, listeners, "burst"); err != nil {
+		what := fmt.Sprintf("repeat %d: bursts to %d clients", repeat, listeners)
+		if err := r.steady(ctx, what, func() error { return r.bursts(ctx, b, repeat, listeners, "burst") }); err != nil {
 			return err
 		}
 	}
-	return r.loadedBursts(ctx, b, repeat)
+	what := fmt.Sprintf("repeat %d: bursts beside %d deliveries a second", repeat, r.Load)
+	return r.steady(ctx, what, func() error { return r.loadedBursts(ctx, b, repeat) })
 }
 
 // times collects how long deliveries took. Several clients add to it at once.
@@ -73,7 +79,12 @@
 // rate measures deliveries at a rate, to one client after the other.
 func (r *run) rate(ctx context.Context, b *bench, repeat, perSecond int) error {
 	taken := newTimes()
-	record := recorder(func(written, read time.Duration) { taken.add(read - written) })
+	from := time.Since(b.clients.began)
+	record := recorder(func(written, read time.Duration) {
+		if written >= from { // none of a measure that was void
+			taken.add(read - written)
+		}
+	})
 	b.clients.record.Store(&record)
 	defer b.clients.record.Store(nil)
 	var sent int64
