--- a/cmd/gorselab/serving.go
+++ b/cmd/gorselab/serving.go
@@ -55,7 +55,7 @@
 	f.StringVar(&out, "out", "", "directory for serving.csv")
 	f.StringVar(&machine, "machine", "what else ran on it was not noted", "what the table says of the machine")
 	f.StringVar(&o.Program, "node", "", "the built node; built from this checkout where it is missing")
-	f.Float64Var(&o.Cores, "cores", 1, "processors that the node may use at once")
+	f.IntVar(&o.Cores, "cores", 1, "processors that the node may use at once")
 	f.IntVar(&o.Repeats, "repeats", 3, "of all steps, each at nodes of its own")
 	f.DurationVar(&o.Window, "window", 5*time.Second, "of a measure at rest or at a rate")
 	f.DurationVar(&o.Stall, "stall", 500*time.Millisecond, "of the machine; a measure with a longer one is taken again")
--- a/internal/rig/single.go
+++ b/internal/rig/single.go
@@ -11,13 +11,6 @@
 	"gorseledge/internal/rig/standin"
 )
 
-// Limits are what a node's process may use.
-type Limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB int     `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
-}
-
 // Single is one node's process without a fleet, alone with the hosts that it is given.
 type Single struct {
 	Client    string // the address that clients connect to
@@ -27,7 +20,7 @@
 
 // StartSingle starts the built program; it knows the hosts from its start, so none of them is new. The directory has to
 // be there and takes its config. An end of the context ends the process.
-func StartSingle(ctx context.Context, program, dir string, hosts *standin.Hosts, limits Limits) (*Single, error) {
+func StartSingle(ctx context.Context, program, dir string, hosts *standin.Hosts, limits NodeLimits) (*Single, error) {
 	n := &node{}
 	var err error
 	if n.client, err = free(0); err != nil {
@@ -36,7 +29,8 @@
 	s := &Single{Client: n.client, discovery: standin.StartDiscovery()}
 	s.discovery.Tell(hosts.List(1))
 	c := config(n, s.discovery.Address(), "", 1, 1)
-	c["known"], c["limits"] = hosts.List(1), limits
+	known := hosts.List(1)
+	c.Known, c.Limits = &known, limits
 	text, err := json.Marshal(c)
 	path := filepath.Join(dir, "config.json")
 	if err == nil {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -32,7 +32,7 @@
 type Options struct {
 	Program     string // the built node
 	Dir         string // for the node's files
-	Cores       float64
+	Cores       int
 	Repeats     int
 	Window      time.Duration // of a measure of connections at rest, and of a rate
 	LineBytes   int
@@ -130,7 +130,7 @@
 		return err
 	}
 	defer b.hosts.Close()
-	limits := rig.Limits{Cores: r.Cores, MemoryMB: memoryLimitMB, Sockets: descriptorsEach*r.most + spareSockets}
+	limits := rig.NodeLimits{Cores: r.Cores, MemoryMB: memoryLimitMB, Sockets: descriptorsEach*r.most + spareSockets}
 	if b.node, err = rig.StartSingle(ctx, r.Program, dir, b.hosts, limits); err != nil {
 		return err
 	}
