capacity: names of the evaluation and its directories say what they are

Cause: a type called capacity in the package, and constants that shared their names with a method or a package. Change: evaluation, figuresDirectory, chartsDirectory, beatGap. No behaviour.

--- a/internal/capacity/chart.go
+++ b/internal/capacity/chart.go
@@ -20,9 +20,9 @@
 type drawing struct{ result }
 
 // drawings gives a chart for each fitted cost, once.
-func (c *capacity) drawings() (out []drawing) {
+func (e *evaluation) drawings() (out []drawing) {
 	seen := map[string]bool{}
-	for _, r := range c.results {
+	for _, r := range e.results {
 		d := drawing{r}
 		if r.fitted && !seen[d.file()] {
 			seen[d.file()] = true
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	pageFile = "CAPACITY.md"
-	planFile = "capacity/plan.toml"
-	figured  = "capacity" // directory of the figures
-	charts   = "charts"
+	pageFile         = "CAPACITY.md"
+	planFile         = "capacity/plan.toml"
+	figuresDirectory = "capacity" // directory of the figures
+	chartsDirectory  = "charts"
 )
 
-// capacity is a plan with what its rows come to.
-type capacity struct {
+// evaluation is a plan with what its rows come to.
+type evaluation struct {
 	plan     *Plan
 	measured map[string]*figures.Table
 	results  []result
@@ -29,31 +29,31 @@
 
 // Build gives the page with its tables, and the charts, by their path below the directory of the docs.
 func Build(docs string) (files map[string][]byte, err error) {
-	c := &capacity{}
-	if c.plan, err = ReadPlan(filepath.Join(docs, planFile)); err != nil {
+	e := &evaluation{}
+	if e.plan, err = ReadPlan(filepath.Join(docs, planFile)); err != nil {
 		return nil, err
 	}
-	if c.measured, err = figures.ReadDir(filepath.Join(docs, figured)); err != nil {
+	if e.measured, err = figures.ReadDir(filepath.Join(docs, figuresDirectory)); err != nil {
 		return nil, err
 	}
-	quantities := c.plan.quantities()
-	for _, row := range c.plan.Rows {
-		r, err := row.reckon(quantities, c.measured)
+	quantities := e.plan.quantities()
+	for _, row := range e.plan.Rows {
+		r, err := row.reckon(quantities, e.measured)
 		if err != nil {
 			return nil, err
 		}
-		c.results = append(c.results, r)
+		e.results = append(e.results, r)
 	}
 	page, err := os.ReadFile(filepath.Join(docs, pageFile))
 	if err != nil {
 		return nil, err
 	}
-	if page, err = fill(page, c.tables()); err != nil {
+	if page, err = fill(page, e.tables()); err != nil {
 		return nil, fmt.Errorf("%s: %w", pageFile, err)
 	}
 	files = map[string][]byte{pageFile: page}
-	for _, d := range c.drawings() {
-		if files[filepath.Join(charts, d.file())], err = d.svg(); err != nil {
+	for _, d := range e.drawings() {
+		if files[filepath.Join(chartsDirectory, d.file())], err = d.svg(); err != nil {
 			return nil, err
 		}
 	}
@@ -101,9 +101,9 @@
 
 // stale gives the charts that nothing draws any more.
 func stale(docs string, files map[string][]byte) (out []string, err error) {
-	paths, err := filepath.Glob(filepath.Join(docs, charts, chartPrefix+"*.svg"))
+	paths, err := filepath.Glob(filepath.Join(docs, chartsDirectory, chartPrefix+"*.svg"))
 	for _, path := range paths {
-		name := filepath.Join(charts, filepath.Base(path))
+		name := filepath.Join(chartsDirectory, filepath.Base(path))
 		if files[name] == nil {
 			out = append(out, name)
 		}
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -25,7 +25,7 @@
 // pageText has a mark for each table.
 func pageText() string {
 	page := "# Capacity\n\nWritten by hand.\n"
-	for _, name := range slices.Sorted(maps.Keys((&capacity{plan: &Plan{}}).tables())) {
+	for _, name := range slices.Sorted(maps.Keys((&evaluation{plan: &Plan{}}).tables())) {
 		page += "\n<!-- table: " + name + " -->\n<!-- end of table -->\n"
 	}
 	return page + "\nAnd the end.\n"
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -14,26 +14,26 @@
 var groups = []string{"serving", "node_control", "control_machines", "discovery", "clients_and_hosts", "failures"}
 
 // tables gives the text of each table of the page by its name.
-func (c *capacity) tables() map[string]string {
-	out := map[string]string{"plan": c.planTable(), "derived": c.derivedTable(), "assumed": c.assumedTable(),
-		"reach": c.reachTable(), "sources": sourcesTable(c.measured), "runs": runsTable(c.measured), "charts": c.chartsTable()}
+func (e *evaluation) tables() map[string]string {
+	out := map[string]string{"plan": e.planTable(), "derived": e.derivedTable(), "assumed": e.assumedTable(),
+		"reach": e.reachTable(), "sources": sourcesTable(e.measured), "runs": runsTable(e.measured), "charts": e.chartsTable()}
 	for _, group := range groups {
-		out[group] = c.groupTable(group)
+		out[group] = e.groupTable(group)
 	}
 	return out
 }
 
-func (c *capacity) planTable() string {
+func (e *evaluation) planTable() string {
 	var rows [][]string
-	for _, f := range c.plan.Size.figures() {
+	for _, f := range e.plan.Size.figures() {
 		rows = append(rows, []string{f.text, in(f.value, f.unit)})
 	}
 	return markdown([]string{"plan", "figure"}, rows)
 }
 
-func (c *capacity) derivedTable() string {
+func (e *evaluation) derivedTable() string {
 	var rows [][]string
-	for _, d := range c.plan.derived() {
+	for _, d := range e.plan.derived() {
 		if strings.Contains(d.how, "/") || strings.Contains(d.how, " x ") {
 			rows = append(rows, []string{d.text, d.how, in(d.value, d.unit)})
 		}
@@ -41,18 +41,18 @@
 	return markdown([]string{"by division", "how", "figure"}, rows)
 }
 
-func (c *capacity) assumedTable() string {
+func (e *evaluation) assumedTable() string {
 	var rows [][]string
-	for _, a := range c.plan.Assumed {
+	for _, a := range e.plan.Assumed {
 		rows = append(rows, []string{strings.ReplaceAll(a.Name, "_", " "), in(a.Value, a.Unit), a.Why})
 	}
 	return markdown([]string{"assumed", "figure", "why"}, rows)
 }
 
 // groupTable gives the rows of one role.
-func (c *capacity) groupTable(group string) string {
+func (e *evaluation) groupTable(group string) string {
 	var rows [][]string
-	for _, r := range c.results {
+	for _, r := range e.results {
 		if r.Group == group {
 			rows = append(rows, r.cells())
 		}
@@ -143,13 +143,13 @@
 }
 
 // reachTable sorts the rows by the part of the planned size that they reach.
-func (c *capacity) reachTable() string {
+func (e *evaluation) reachTable() string {
 	type reached struct {
 		part float64
 		cell []string
 	}
 	var all []reached
-	for _, r := range c.results {
+	for _, r := range e.results {
 		size, known := r.reach()
 		if !known {
 			continue
@@ -241,9 +241,9 @@
 }
 
 // chartsTable names the charts.
-func (c *capacity) chartsTable() string {
+func (e *evaluation) chartsTable() string {
 	var rows [][]string
-	for _, d := range c.drawings() {
+	for _, d := range e.drawings() {
 		rows = append(rows, []string{d.title(), fmt.Sprintf("[%s](charts/%s)", d.file(), d.file())})
 	}
 	return markdown([]string{"cost against size, with its line and what is left of it", "chart"}, rows)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -53,8 +53,8 @@
 	switch {
 	case o.Repeats < 1 || o.Bursts < 1 || o.Cores < 1:
 		return errors.New("repeats, bursts and cores go from 1 on")
-	case o.Stall < 2*beat:
-		return fmt.Errorf("a stall of %v is shorter than %v", o.Stall, 2*beat)
+	case o.Stall < 2*beatGap:
+		return fmt.Errorf("a stall of %v is shorter than %v", o.Stall, 2*beatGap)
 	case o.Window < 100*time.Millisecond:
 		return fmt.Errorf("a window of %v is shorter than 100ms", o.Window)
 	case o.LineBytes < 32 || o.LineBytes > longestLine:
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -164,10 +164,10 @@
 func TestLongestStallIsKept(t *testing.T) {
 	began := time.Unix(1000, 0)
 	s := stalls{last: began}
-	for _, at := range []time.Duration{beat, 3 * beat, 4 * beat, time.Second, time.Second + beat} {
+	for _, at := range []time.Duration{beatGap, 3 * beatGap, 4 * beatGap, time.Second, time.Second + beatGap} {
 		s.beat(began.Add(at))
 	}
-	if want := time.Second - 5*beat; s.longest != want {
+	if want := time.Second - 5*beatGap; s.longest != want {
 		t.Errorf("longest %v, want %v", s.longest, want)
 	}
 }
--- a/internal/serving/steady.go
+++ b/internal/serving/steady.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	beat         = 10 * time.Millisecond // of the watch for stalls
+	beatGap      = 10 * time.Millisecond // of the watch for stalls
 	mostAttempts = 5
 )
 
@@ -39,7 +39,7 @@
 }
 
 func (s *stalls) beat(now time.Time) {
-	s.longest = max(s.longest, now.Sub(s.last)-beat)
+	s.longest = max(s.longest, now.Sub(s.last)-beatGap)
 	s.last = now
 }
 
@@ -47,7 +47,7 @@
 func watchStalls() (stop func() time.Duration) {
 	ended, longest := make(chan struct{}), make(chan time.Duration)
 	go func() {
-		ticker := time.NewTicker(beat)
+		ticker := time.NewTicker(beatGap)
 		defer ticker.Stop()
 		s := stalls{last: time.Now()}
 		for {
