--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -17,6 +17,13 @@
 	Size    Size         `toml:"size"`
 	Assumed []Assumption `toml:"assumed"`
 	Rows    []Row        `toml:"row"`
+	Compare []Comparison `toml:"compare"`
+}
+
+// Comparison is a cost by which real and hollow nodes are set beside each other.
+type Comparison struct {
+	Phase string `toml:"phase"`
+	Cost  string `toml:"cost"`
 }
 
 // Size is the operators' plan, word for word in figures.
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -16,7 +16,7 @@
 // tables gives the text of each table of the page by its name.
 func (e *evaluation) tables() map[string]string {
 	out := map[string]string{"plan": e.planTable(), "derived": e.derivedTable(), "assumed": e.assumedTable(),
-		"reach": e.reachTable(), "sources": sourcesTable(e.measured), "runs": runsTable(e.measured), "charts": e.chartsTable()}
+		"reach": e.reachTable(), "sources": e.sourcesTable(), "runs": runsTable(e.measured), "charts": e.chartsTable()}
 	for _, group := range groups {
 		out[group] = e.groupTable(group)
 	}
@@ -192,41 +192,41 @@
 }
 
 // sourcesTable sets real and hollow nodes beside each other where both were measured.
-func sourcesTable(measured map[string]*figures.Table) string {
-	type key struct {
-		dimension, phase, cost, unit string
-		size                         float64
+func (e *evaluation) sourcesTable() string {
+	var rows [][]string
+	for _, c := range e.plan.Compare {
+		rows = append(rows, e.compare(c)...)
 	}
-	found := map[key]map[figures.Source][]float64{}
-	var order []key
-	for _, name := range slices.Sorted(maps.Keys(measured)) {
-		for _, row := range measured[name].Rows {
-			k := key{row.Dimension, row.Phase, row.Cost, row.Unit, row.Size}
-			if found[k] == nil {
-				found[k] = map[figures.Source][]float64{}
-				order = append(order, k)
+	if len(rows) == 0 {
+		return "No cost was measured on real and hollow nodes at the same size yet.\n"
+	}
+	return markdown([]string{"cost, phase", "size", "real", "hollow", "hollow / real"}, rows)
+}
+
+// compare gives a row for each size at which both kinds of node were measured by a cost.
+func (e *evaluation) compare(c Comparison) (rows [][]string) {
+	found := map[figures.Source]map[float64][]float64{figures.Real: {}, figures.Hollow: {}}
+	unit, dimension := "", ""
+	for _, table := range e.measured {
+		for _, row := range table.Rows {
+			if row.Phase == c.Phase && row.Cost == c.Cost && found[row.Source] != nil {
+				found[row.Source][row.Size] = append(found[row.Source][row.Size], row.Value)
+				unit, dimension = row.Unit, row.Dimension
 			}
-			found[k][row.Source] = append(found[k][row.Source], row.Value)
 		}
 	}
-	var rows [][]string
-	for _, k := range order {
-		real, hollow := found[k][figures.Real], found[k][figures.Hollow]
-		if len(real) == 0 || len(hollow) == 0 {
+	for _, size := range slices.Sorted(maps.Keys(found[figures.Real])) {
+		if len(found[figures.Hollow][size]) == 0 {
 			continue
 		}
-		a, b := median(real), median(hollow)
+		real, hollow := median(found[figures.Real][size]), median(found[figures.Hollow][size])
 		ratio := "-"
-		if a != 0 {
-			ratio = number(b / a)
+		if real != 0 {
+			ratio = number(hollow / real)
 		}
-		rows = append(rows, []string{fmt.Sprintf("%s, %s", k.cost, k.phase), number(k.size) + " " + k.dimension, in(a, k.unit),
-			in(b, k.unit), ratio})
-	}
-	if len(rows) == 0 {
-		return "No cost was measured on real and hollow nodes at the same size yet.\n"
+		rows = append(rows, []string{c.Cost + ", " + c.Phase, number(size) + " " + dimension, in(real, unit), in(hollow, unit), ratio})
 	}
-	return markdown([]string{"cost, phase", "size", "real", "hollow", "hollow / real"}, rows)
+	return rows
 }
 
 // runsTable says where the figures come from.
