members: a death that not all knew of has no time until the last knew

Cause: at 1,720 nodes 93 in 100 knew of a death within the 80 periods that are looked at, and the table said that the last knew after 80. Change: what did not come has no row; death.known_part counts it.

--- a/internal/emulator/members/figures.go
+++ b/internal/emulator/members/figures.go
@@ -1,6 +1,10 @@
 package members
 
-import "gorseledge/internal/figures"
+import (
+	"math"
+
+	"gorseledge/internal/figures"
+)
 
 // Figures gives a fleet's measure at rest as rows of a table.
 func (r Rest) Figures(run, nodes int) []figures.Row {
@@ -9,11 +13,20 @@
 		{"node.membership_messages_sent", "1/s", r.Messages}, {"node.membership_bytes_sent", "B/s", r.Bytes}})
 }
 
-// Figures gives what a seed showed of one death as rows of a table, in periods after it.
+// Figures gives what a seed showed of one death as rows of a table, in periods after it. What did not come while it was
+// looked for has no row.
 func (m Measure) Figures(nodes int) []figures.Row {
-	return rows(int(m.Seed), nodes, "death", []figure{{"death.suspected_by_first", "periods", m.Suspected},
-		{"death.known_by_first", "periods", m.First}, {"death.known_by_last", "periods", m.Last},
-		{"death.known_part", "1", m.Known}})
+	all := []figure{{"death.known_part", "1", m.Known}}
+	if !math.IsInf(m.Suspected, 0) {
+		all = append(all, figure{"death.suspected_by_first", "periods", m.Suspected})
+	}
+	if !math.IsInf(m.First, 0) {
+		all = append(all, figure{"death.known_by_first", "periods", m.First})
+	}
+	if m.Known == 1 {
+		all = append(all, figure{"death.known_by_last", "periods", m.Last})
+	}
+	return rows(int(m.Seed), nodes, "death", all)
 }
 
 // figure is a cost's name, unit and value.
