--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -142,55 +142,6 @@
 	return fmt.Sprintf("falls by %s over the measured sizes", percent(min(-change, 1)))
 }
 
-// reachTable sorts the rows by the part of the planned size that they reach.
-func (e *evaluation) reachTable() string {
-	type reached struct {
-		part float64
-		cell []string
-	}
-	var all []reached
-	for _, r := range e.results {
-		size, known := r.reach()
-		if !known {
-			continue
-		}
-		at, part, end := "-", 0.0, "no mechanism"
-		if r.carried() {
-			at, part, end = "no end seen", math.Inf(1), in(r.budget.value, r.budget.unit)
-			if !math.IsInf(size, 1) {
-				part = size / r.size.value
-				at = number(size)
-			}
-		}
-		planned := "-"
-		if r.size.value > 0 {
-			planned = number(r.size.value)
-		}
-		text := "none"
-		if part > 0 {
-			text = times(part)
-		}
-		if math.IsInf(part, 1) {
-			text = "-"
-		}
-		all = append(all, reached{part, []string{strings.ReplaceAll(r.Group, "_", " ") + ": " + r.Name, planned, at, text, end}})
-	}
-	slices.SortStableFunc(all, func(a, b reached) int {
-		switch {
-		case a.part < b.part:
-			return -1
-		case a.part > b.part:
-			return 1
-		}
-		return 0
-	})
-	var rows [][]string
-	for _, r := range all {
-		rows = append(rows, r.cell)
-	}
-	return markdown([]string{"line", "planned size", "budget is used up at", "part of the planned size", "budget"}, rows)
-}
-
 // sourcesTable sets real and hollow nodes beside each other where both were measured.
 func (e *evaluation) sourcesTable() string {
 	var rows [][]string
