capacity: a bend that rounding leaves over is none

Cause: an exact line has residuals of the size of rounding, which could differ from none by three of their own errors. Change: a slope that changes by under a hundredth over the measured sizes is called steady.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -25,9 +25,10 @@
 }
 
 const (
-	fewestPoints = 3 // two give a line without an error
-	fewestSizes  = 3 // of different value, to see a bend
-	sureBend     = 3 // standard errors by which a bend has to differ from none
+	fewestPoints = 3    // two give a line without an error
+	fewestSizes  = 3    // of different value, to see a bend
+	sureBend     = 3    // standard errors by which a bend has to differ from none
+	leastChange  = 0.01 // of the slope over the measured sizes, under which it is called steady
 )
 
 var errTooFew = errors.New("fewer than three figures, or all at one size")
@@ -116,8 +117,10 @@
 // residual is how far a figure lies above the line.
 func (l line) residual(p point) float64 { return p.y - l.intercept - l.slope*p.x }
 
-// bends tells whether the slope itself changes with the size, beyond chance.
-func (l line) bends() bool { return l.enoughForABend && math.Abs(l.bend) > sureBend*l.bendError }
+// bends tells whether the slope itself changes with the size, beyond chance and beyond what matters.
+func (l line) bends() bool {
+	return l.enoughForABend && math.Abs(l.bend) > sureBend*l.bendError && math.Abs(l.slopeChange()) > leastChange
+}
 
 // slopeChange is by which part of itself the slope changes from the smallest size to the largest.
 func (l line) slopeChange() float64 { return 2 * l.bend * (l.to - l.from) / math.Abs(l.slope) }
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -68,6 +68,9 @@
 	near(t, "error at 100", deviation, 0, 1e-9)
 	near(t, "largest residual", l.largest, 0, 1e-12)
 	near(t, "R2", l.determination, 1, 1e-12)
+	if l.bends() {
+		t.Errorf("what rounding leaves over is taken for a bend of %v ± %v", l.bend, l.bendError)
+	}
 	if l.from != 1 || l.to != 8 {
 		t.Errorf("sizes %v to %v", l.from, l.to)
 	}
