--- a/cmd/gorselab/members.go
+++ b/cmd/gorselab/members.go
@@ -33,6 +33,7 @@
 	fleet   members.Options
 	stalls  members.Stalls
 	seconds float64 // virtual duration of each measurement
+	settle  float64 // periods between the start of a fleet and its measurement; members.SettlePeriods where it is 0
 	idle    bool    // measure fleets without faults
 	charts  string  // directory for charts; none where empty
 	table   tableFile
@@ -52,6 +53,7 @@
 	c.Flags().Float64Var(&o.stalls.Part, "stalls", 0.1, "part of the nodes that stalls")
 	c.Flags().Float64Var(&o.stalls.For, "for", 2, "for so many seconds; the period is one")
 	c.Flags().Float64Var(&o.stalls.Every, "every", 15, "so often, in seconds")
+	c.Flags().Float64Var(&o.settle, "settle", 0, "periods from the start to the measures; by default some 30 for each power of ten of nodes")
 	c.Flags().Float64Var(&o.seconds, "seconds", 120, "so long")
 	return c
 }
@@ -59,9 +61,9 @@
 // check returns an error where a flag is out of its range.
 func (o membersOptions) check() error {
 	s := o.stalls
-	if o.seeds < 1 || o.fleet.Loss < 0 || o.fleet.Loss >= 1 || s.Part < 0 || s.Part > 1 || o.seconds <= 0 || s.For <= 0 ||
-		s.Every <= s.For {
-		return errors.New("--seeds from 1 on, --loss and --stalls under 1, --for shorter than --every")
+	if o.seeds < 1 || o.fleet.Loss < 0 || o.fleet.Loss >= 1 || s.Part < 0 || s.Part > 1 || o.seconds <= 0 || o.settle < 0 ||
+		s.For <= 0 || s.Every <= s.For {
+		return errors.New("--seeds from 1 on, --loss and --stalls under 1, --settle from 0 on, --for shorter than --every")
 	}
 	for _, n := range o.nodes {
 		if n < leastMembers || n > mostMembers {
@@ -104,7 +106,7 @@
 		if o.fleet.Plain = plain; plain && o.table.path != "" {
 			continue
 		}
-		found, err := measure(ctx, o.fleet, o.stalls, o.seconds, o.seeds)
+		found, err := measure(ctx, o)
 		if err != nil {
 			return err
 		}
@@ -142,8 +144,12 @@
 }
 
 // measure measures a fleet for each seed, in parallel. When the context ends, it finishes the fleets in progress only.
-func measure(ctx context.Context, o members.Options, s members.Stalls, seconds float64, seeds int) ([]members.Measure, error) {
-	found := make([]members.Measure, seeds)
+func measure(ctx context.Context, o membersOptions) ([]members.Measure, error) {
+	settle := o.settle
+	if settle == 0 {
+		settle = members.SettlePeriods(o.fleet.Nodes)
+	}
+	found := make([]members.Measure, o.seeds)
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(runtime.NumCPU())
 	for i := range found {
@@ -151,9 +157,9 @@
 			if err := ctx.Err(); err != nil {
 				return err
 			}
-			one := o
+			one := o.fleet
 			one.Seed = uint64(i + 1)
-			found[i] = members.Take(one, s, seconds)
+			found[i] = members.Take(one, o.stalls, settle, o.seconds)
 			return nil
 		})
 	}
--- a/internal/emulator/members/measure.go
+++ b/internal/emulator/members/measure.go
@@ -22,10 +22,15 @@
 	Part, For, Every float64 // of the nodes; seconds
 }
 
-// Take measures one fleet: at rest for its load, then with stalls for what is falsely held, then one death.
-func Take(o Options, s Stalls, seconds float64) Measure {
+// SettlePeriods is how many periods a fleet that started together is left alone before it is measured, where nothing else
+// is said. Fleets of some hundred members still tell of the start then.
+func SettlePeriods(nodes int) float64 { return 30 * math.Log10(10+float64(nodes)) }
+
+// Take measures one fleet, so many periods after its start: at rest for its load, then with stalls for what is falsely
+// held, then one death.
+func Take(o Options, s Stalls, settle, seconds float64) Measure {
 	w := New(o)
-	w.Run(w.Now + 30*w.Period*math.Log10(10+float64(o.Nodes)))
+	w.Run(w.Now + settle*w.Period)
 	sum, from := 0, w.Now
 	for i := range w.Bytes {
 		sum -= w.Bytes[i]
--- a/internal/emulator/members/world_test.go
+++ b/internal/emulator/members/world_test.go
@@ -214,7 +214,7 @@
 func TestCrowdOfNews(t *testing.T) {
 	t.Parallel() // the longest here
 	o := Options{Nodes: 300, Seed: 12}
-	if m := Take(o, Stalls{Part: 0.1, For: 2, Every: 15}, 120); m.FalseDeaths > 0 || m.Known < 1 {
+	if m := Take(o, Stalls{Part: 0.1, For: 2, Every: 15}, SettlePeriods(o.Nodes), 120); m.FalseDeaths > 0 || m.Known < 1 {
 		t.Errorf("%.0f deaths an hour of members that live, a real one known by %.3f", m.FalseDeaths, m.Known)
 	}
 }
