--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -180,9 +180,6 @@
 		if !found {
 			break
 		}
-		if comment = strings.TrimSpace(comment); t.Provenance.scaleComment(comment) {
-			continue
-		}
 		key, value, _ := strings.Cut(comment, ":")
 		if err := t.Provenance.set(strings.TrimSpace(key), strings.TrimSpace(value)); err != nil {
 			return fmt.Errorf("%s: %w", key, err)
--- a/internal/figures/scale.go
+++ b/internal/figures/scale.go
@@ -1,11 +1,6 @@
 package figures
 
-import (
-	"fmt"
-	"regexp"
-	"strconv"
-	"strings"
-)
+import "strconv"
 
 // scaleHeader are the columns of a table of gorselab scale: it varies the number of nodes alone, and plays each size once.
 var scaleHeader = []string{"nodes", "kind", "nodes_of_kind", "phase", "cost", "unit", "value"}
@@ -30,29 +25,3 @@
 	}
 	return r, nil
 }
-
-var (
-	scaleCommand = regexp.MustCompile(`^(gorselab scale .*), build(?: (\S+))?$`)
-	scaleEnd     = regexp.MustCompile(`^ended (\S+); (.*)$`)
-	scaleCores   = regexp.MustCompile(`\b(\d+) cores`)
-)
-
-// scaleComment takes what a comment line of gorselab scale says of the run; false where it is none.
-func (p *Provenance) scaleComment(text string) bool {
-	if found := scaleCommand.FindStringSubmatch(text); found != nil {
-		p.Command, p.Revision, p.Repeats = found[1], found[2], 1
-		if p.Revision == "" {
-			p.Revision = "not noted"
-		}
-		return true
-	}
-	found := scaleEnd.FindStringSubmatch(text)
-	if found == nil {
-		return false
-	}
-	p.Date, p.Machine = strings.NewReplacer("T", " ", "Z", " UTC").Replace(found[1]), found[2]
-	if cores := scaleCores.FindStringSubmatch(found[2]); cores != nil {
-		fmt.Sscan(cores[1], &p.Cores)
-	}
-	return true
-}
