--- a/cmd/gorselab/serving.go
+++ b/cmd/gorselab/serving.go
@@ -34,7 +34,7 @@
 			defer os.RemoveAll(scratch)
 			o.Dir = scratch
 			if o.Program == "" {
-				if o.Program, err = build(cmd, scratch); err != nil {
+				if o.Program, err = build(cmd, scratch, "gorseledge"); err != nil {
 					return err
 				}
 			}
