--- a/cmd/gorselab/members.go
+++ b/cmd/gorselab/members.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gorseledge/internal/emulator/members"
+	"gorseledge/internal/figures"
 	"gorseledge/internal/lab"
 )
 
@@ -32,8 +33,10 @@
 	fleet   members.Options
 	stalls  members.Stalls
 	seconds float64 // virtual duration of each measurement
+	settle  float64 // periods between the start of a fleet and its measurement; members.SettlePeriods where it is 0
 	idle    bool    // measure fleets without faults
 	charts  string  // directory for charts; none where empty
+	table   tableFile
 }
 
 // membersCommand returns the command that measures fleets of the membership core on the virtual clock.
@@ -43,12 +46,14 @@
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, args []string) error { return runMembers(cmd, o) }}
 	c.Flags().IntSliceVar(&o.nodes, "nodes", []int{30, 300}, "sizes of the fleets")
 	c.Flags().StringVar(&o.charts, "charts", "", "draw a chart of each size into this directory")
-	c.Flags().BoolVar(&o.idle, "rest", false, "measure fleets at rest instead: CPU, memory, messages")
+	c.Flags().BoolVar(&o.idle, "rest", false, "measure fleets at rest instead: CPU, memory, messages; one row a seed")
+	o.table.flags(c)
 	c.Flags().IntVar(&o.seeds, "seeds", 20, "fleets of each size")
 	c.Flags().Float64Var(&o.fleet.Loss, "loss", 0, "part of the messages that is lost")
 	c.Flags().Float64Var(&o.stalls.Part, "stalls", 0.1, "part of the nodes that stalls")
 	c.Flags().Float64Var(&o.stalls.For, "for", 2, "for so many seconds; the period is one")
 	c.Flags().Float64Var(&o.stalls.Every, "every", 15, "so often, in seconds")
+	c.Flags().Float64Var(&o.settle, "settle", 0, "periods from the start to the measures; by default some 30 for each power of ten of nodes")
 	c.Flags().Float64Var(&o.seconds, "seconds", 120, "so long")
 	return c
 }
@@ -56,9 +61,9 @@
 // check returns an error where a flag is out of its range.
 func (o membersOptions) check() error {
 	s := o.stalls
-	if o.seeds < 1 || o.fleet.Loss < 0 || o.fleet.Loss >= 1 || s.Part < 0 || s.Part > 1 || o.seconds <= 0 || s.For <= 0 ||
-		s.Every <= s.For {
-		return errors.New("--seeds from 1 on, --loss and --stalls under 1, --for shorter than --every")
+	if o.seeds < 1 || o.fleet.Loss < 0 || o.fleet.Loss >= 1 || s.Part < 0 || s.Part > 1 || o.seconds <= 0 || o.settle < 0 ||
+		s.For <= 0 || s.Every <= s.For {
+		return errors.New("--seeds from 1 on, --loss and --stalls under 1, --settle from 0 on, --for shorter than --every")
 	}
 	for _, n := range o.nodes {
 		if n < leastMembers || n > mostMembers {
@@ -75,30 +80,40 @@
 	}
 	t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
 	defer t.Flush()
+	table := o.table.begin(o.seeds)
 	if o.idle {
-		return measureIdle(cmd.Context(), t, o.nodes, o.fleet)
+		if err := measureIdle(cmd.Context(), t, table, o); err != nil {
+			return err
+		}
+		return o.table.end(table)
 	}
 	fmt.Fprintln(t, "core\tnodes\tseeds\tfirst suspects, median\t99th\tfirst knows\tlast knows\t99th\tknown by\t"+
 		"false suspicions an hour\tfalse deaths an hour\tbytes a member and second")
 	for _, size := range o.nodes {
 		o.fleet.Nodes = size
-		if err := measureSize(cmd.Context(), t, o); err != nil {
+		if err := measureSize(cmd.Context(), t, table, o); err != nil {
 			return err
 		}
 	}
-	return nil
+	return o.table.end(table)
 }
 
-// measureSize measures fleets of one size, writes a row for each core and draws a chart where the options ask for it.
-func measureSize(ctx context.Context, w io.Writer, o membersOptions) error {
+// measureSize measures fleets of one size, writes a row for each core and draws a chart where the options ask for it. The
+// table takes the core as built; where it is to be kept, the other core is not measured.
+func measureSize(ctx context.Context, w io.Writer, table *figures.Table, o membersOptions) error {
 	var cores []members.Core
 	for _, plain := range []bool{false, true} {
-		o.fleet.Plain = plain
-		found, err := measure(ctx, o.fleet, o.stalls, o.seconds, o.seeds)
+		if o.fleet.Plain = plain; plain && o.table.path != "" {
+			continue
+		}
+		found, err := measure(ctx, o)
 		if err != nil {
 			return err
 		}
 		writeRow(w, o.fleet, found)
+		for _, m := range found {
+			table.Rows = append(table.Rows, m.Figures(o.fleet.Nodes)...)
+		}
 		cores = append(cores, members.Core{Name: coreName(o.fleet), Measures: found})
 	}
 	if o.charts == "" {
@@ -112,22 +127,29 @@
 }
 
 // measureIdle measures fleets without faults, one after the other, and writes a row for each.
-func measureIdle(ctx context.Context, w io.Writer, nodes []int, o members.Options) error {
+func measureIdle(ctx context.Context, w io.Writer, table *figures.Table, o membersOptions) error {
 	fmt.Fprintln(w, "members\tCPU a member and second, us\tmemory a member, kB\tmessages a second\tbytes a second")
-	for _, o.Nodes = range nodes {
-		if err := ctx.Err(); err != nil {
-			return err
+	for _, size := range o.nodes {
+		for seed := 1; seed <= o.seeds; seed++ {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			o.fleet.Nodes, o.fleet.Seed = size, uint64(seed)
+			r := members.Idle(o.fleet, idleSeconds)
+			fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\t%.0f\n", size, 1e6*r.CPU, r.Memory/1e3, r.Messages, r.Bytes)
+			table.Rows = append(table.Rows, r.Figures(seed, size)...)
 		}
-		o.Seed = 1
-		r := members.Idle(o, idleSeconds)
-		fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.2f\t%.0f\n", o.Nodes, 1e6*r.CPU, r.Memory/1e3, r.Messages, r.Bytes)
 	}
 	return nil
 }
 
 // measure measures a fleet for each seed, in parallel. When the context ends, it finishes the fleets in progress only.
-func measure(ctx context.Context, o members.Options, s members.Stalls, seconds float64, seeds int) ([]members.Measure, error) {
-	found := make([]members.Measure, seeds)
+func measure(ctx context.Context, o membersOptions) ([]members.Measure, error) {
+	settle := o.settle
+	if settle == 0 {
+		settle = members.SettlePeriods(o.fleet.Nodes)
+	}
+	found := make([]members.Measure, o.seeds)
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(runtime.NumCPU())
 	for i := range found {
@@ -135,9 +157,9 @@
 			if err := ctx.Err(); err != nil {
 				return err
 			}
-			one := o
+			one := o.fleet
 			one.Seed = uint64(i + 1)
-			found[i] = members.Take(one, s, seconds)
+			found[i] = members.Take(one, o.stalls, settle, o.seconds)
 			return nil
 		})
 	}
--- a/cmd/gorselab/scale.go
+++ b/cmd/gorselab/scale.go
@@ -4,18 +4,16 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
+	"gorseledge/internal/figures"
 	"gorseledge/internal/lab"
 	"gorseledge/internal/scale"
-	"gorseledge/internal/sockets"
 )
 
 // scaleFlags are those of a scale run.
@@ -133,33 +131,17 @@
 	return only, nil
 }
 
-// provenance says how a table came about.
+// provenance says how a table came about, one key a line as in other tables of figures.
 func provenance(s *scale.Script, f scaleFlags) []string {
 	beside := f.beside
 	if beside == "" {
 		beside = "not noted"
 	}
 	load, _ := os.ReadFile("/proc/loadavg")
-	return []string{
-		fmt.Sprintf("command: gorselab scale %s --seed %d, with %d real nodes and a period of %g s", s.Name, f.seed, s.Real, s.Period),
-		"revision: " + revision(),
-		"date: " + time.Now().UTC().Format("2006-01-02 15:04 UTC"),
-		fmt.Sprintf("cores: %d", runtime.NumCPU()),
-		fmt.Sprintf("machine: %s; load at the end %s; beside it: %s", runtime.Version(), strings.TrimSpace(string(load)), beside),
-		"repeats: 1",
-	}
-}
-
-// revision names the text that is measured: as the build knows it, or else as the checkout at hand does.
-func revision() string {
-	if built := sockets.Version(); built != "" {
-		return built
-	}
-	text, err := exec.Command("git", "describe", "--always", "--dirty").Output()
-	if err != nil {
-		return "unknown"
-	}
-	return strings.TrimSpace(string(text))
+	p := figures.Here(fmt.Sprintf("gorselab scale %s --seed %d, with %d real nodes and a period of %g s", s.Name, f.seed, s.Real, s.Period),
+		fmt.Sprintf("%s; load at the end %s; beside it: %s", runtime.Version(), strings.TrimSpace(string(load)), beside), 1)
+	return []string{"command: " + p.Command, "revision: " + p.Revision, "date: " + p.Date, fmt.Sprint("cores: ", p.Cores),
+		"machine: " + p.Machine, fmt.Sprint("repeats: ", p.Repeats)}
 }
 
 // keepScale writes the table, and a chart of each cost at which several sizes were measured.
--- /dev/null
+++ b/internal/capacity/tables.go
@@ -0,0 +1,201 @@
+package capacity
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+
+	"gorseledge/internal/figures"
+)
+
+// groups are the tables of rows, in the page's order.
+var groups = []string{"serving", "node_control", "control_machines", "discovery", "clients_and_hosts", "failures"}
+
+// tables gives the text of each table of the page by its name.
+func (e *evaluation) tables() map[string]string {
+	out := map[string]string{"plan": e.planTable(), "derived": e.derivedTable(), "assumed": e.assumedTable(),
+		"reach": e.reachTable(), "sources": e.sourcesTable(), "runs": runsTable(e.measured), "charts": e.chartsTable()}
+	for _, group := range groups {
+		out[group] = e.groupTable(group)
+	}
+	return out
+}
+
+func (e *evaluation) planTable() string {
+	var rows [][]string
+	for _, f := range e.plan.Size.figures() {
+		rows = append(rows, []string{f.text, in(f.value, f.unit)})
+	}
+	return markdown([]string{"plan", "figure"}, rows)
+}
+
+func (e *evaluation) derivedTable() string {
+	var rows [][]string
+	for _, d := range e.plan.derived() {
+		if strings.Contains(d.how, "/") || strings.Contains(d.how, " x ") {
+			rows = append(rows, []string{d.text, d.how, in(d.value, d.unit)})
+		}
+	}
+	return markdown([]string{"by division", "how", "figure"}, rows)
+}
+
+func (e *evaluation) assumedTable() string {
+	var rows [][]string
+	for _, a := range e.plan.Assumed {
+		rows = append(rows, []string{strings.ReplaceAll(a.Name, "_", " "), in(a.Value, a.Unit), a.Why})
+	}
+	return markdown([]string{"assumed", "figure", "why"}, rows)
+}
+
+// groupTable gives the rows of one role.
+func (e *evaluation) groupTable(group string) string {
+	var rows [][]string
+	for _, r := range e.results {
+		if r.Group == group {
+			rows = append(rows, r.cells())
+		}
+	}
+	return markdown([]string{"what", "carried by", "slope, ± its error", "run and fit", "at the planned size", "budget", "part used",
+		"measured, extrapolated or assumed", "the slope itself"}, rows)
+}
+
+// cells are a row's on the page.
+func (r result) cells() []string {
+	slope, fit, value, budget, part, how, itself := "-", "-", "-", "not stated", "-", "-", "-"
+	if r.budget.value > 0 {
+		budget = in(r.budget.value, r.budget.unit)
+		if r.budget.how == "assumed" {
+			budget += " (assumed)"
+		}
+	}
+	if used, known := r.part(); known {
+		part = percent(used)
+	}
+	if r.figured {
+		value = fmt.Sprintf("%s at %s", in(r.value, r.unit), number(r.size.value))
+		how = r.how()
+	}
+	if r.Reckoned != nil {
+		slope, fit = r.slopeText(), "none"
+	}
+	if r.From != nil {
+		fit = fmt.Sprintf("`%s`, %s", r.From.Table, r.From.Source)
+	}
+	if r.fitted {
+		slope = fmt.Sprintf("%s ± %s", r.slopeText(), percent(math.Abs(r.line.slopeError/r.line.slope)))
+		value = fmt.Sprintf("%s ± %s at %s", in(r.value, r.unit), in(r.deviation, r.unit), number(r.size.value))
+		fit += fmt.Sprintf(", %d figures, R2 %s, largest residual %s", r.line.points, number(r.line.determination),
+			in(r.line.largest, r.measuredIn))
+		itself = r.itself()
+	}
+	name := r.Name
+	if r.Note != "" {
+		name += " (" + r.Note + ")"
+	}
+	return []string{name, r.Mechanism, slope, fit, value, budget, part, how, itself}
+}
+
+// slopeText is the slope with what it is for.
+func (r result) slopeText() string {
+	text := in(r.slope, r.slopeUnit)
+	if r.slopeUnit == "us/s" {
+		text = number(r.slope) + " us/s" // a part of a core is too small a figure for one more of something
+	}
+	if r.Per != "" {
+		text += " " + r.Per
+	}
+	return text
+}
+
+// how says whether the value was measured, extrapolated or assumed.
+func (r result) how() string {
+	switch {
+	case r.Reckoned != nil:
+		return "assumed: " + r.Reckoned.Basis
+	case r.From.At:
+		return fmt.Sprintf("measured at %s", number(math.Ceil(r.size.value)))
+	case r.From.SlopeOnly:
+		return fmt.Sprintf("slope measured from %s to %s", number(r.line.from), number(r.line.to))
+	case r.size.value <= r.line.to*1.0001 && r.size.value >= r.line.from:
+		return fmt.Sprintf("measured from %s to %s", number(r.line.from), number(r.line.to))
+	case r.size.value < r.line.from:
+		return fmt.Sprintf("extrapolated down from %s", number(r.line.from))
+	}
+	return fmt.Sprintf("extrapolated %s times, from %s", number(r.size.value/r.line.to), number(r.line.to))
+}
+
+// itself says whether the slope changes with the size.
+func (r result) itself() string {
+	change := r.line.slopeChange()
+	switch {
+	case r.flat():
+		return "does not grow"
+	case !r.line.enoughForABend:
+		return "too few sizes to tell"
+	case !r.line.bends():
+		return "steady"
+	case change > 0:
+		return fmt.Sprintf("rises by %s over the measured sizes", percent(change))
+	}
+	return fmt.Sprintf("falls by %s over the measured sizes", percent(min(-change, 1)))
+}
+
+// sourcesTable sets real and hollow nodes beside each other where both were measured.
+func (e *evaluation) sourcesTable() string {
+	var rows [][]string
+	for _, c := range e.plan.Compare {
+		rows = append(rows, e.compare(c)...)
+	}
+	if len(rows) == 0 {
+		return "No cost was measured on real and hollow nodes at the same size yet.\n"
+	}
+	return markdown([]string{"cost, phase", "size", "real", "hollow", "hollow / real"}, rows)
+}
+
+// compare gives a row for each size at which both kinds of node were measured by a cost.
+func (e *evaluation) compare(c Comparison) (rows [][]string) {
+	found := map[figures.Source]map[float64][]float64{figures.Real: {}, figures.Hollow: {}}
+	unit, dimension := "", ""
+	for _, table := range e.measured {
+		for _, row := range table.Rows {
+			if row.Phase == c.Phase && row.Cost == c.Cost && found[row.Source] != nil {
+				found[row.Source][row.Size] = append(found[row.Source][row.Size], row.Value)
+				unit, dimension = row.Unit, row.Dimension
+			}
+		}
+	}
+	for _, size := range slices.Sorted(maps.Keys(found[figures.Real])) {
+		if len(found[figures.Hollow][size]) == 0 {
+			continue
+		}
+		real, hollow := median(found[figures.Real][size]), median(found[figures.Hollow][size])
+		ratio := "-"
+		if real != 0 {
+			ratio = number(hollow / real)
+		}
+		rows = append(rows, []string{c.Cost + ", " + c.Phase, number(size) + " " + dimension, in(real, unit), in(hollow, unit), ratio})
+	}
+	return rows
+}
+
+// runsTable says where the figures come from.
+func runsTable(measured map[string]*figures.Table) string {
+	var rows [][]string
+	for _, name := range slices.Sorted(maps.Keys(measured)) {
+		t := measured[name]
+		rows = append(rows, []string{"`" + name + "`", "`" + t.Command + "`", t.Revision, t.Date, fmt.Sprint(t.Cores), t.Machine,
+			fmt.Sprint(t.Repeats), fmt.Sprint(len(t.Rows))})
+	}
+	return markdown([]string{"run", "command", "revision", "date", "cores", "machine", "repeats", "figures"}, rows)
+}
+
+// chartsTable names the charts.
+func (e *evaluation) chartsTable() string {
+	var rows [][]string
+	for _, d := range e.drawings() {
+		rows = append(rows, []string{d.title(), fmt.Sprintf("[%s](charts/%s)", d.file(), d.file())})
+	}
+	return markdown([]string{"cost against size, with its line and what is left of it", "chart"}, rows)
+}
--- a/internal/rig/setup.go
+++ b/internal/rig/setup.go
@@ -128,18 +128,21 @@
 	Admin     string       `json:"admin_addr,omitempty"`
 	Fleet     string       `json:"fleet,omitempty"` // path of the fleet file
 	Seed      string       `json:"seed"`            // hexadecimal
-	Limits    nodeLimits   `json:"limits"`
+	Limits    NodeLimits   `json:"limits"`
 	Known     *roster.List `json:"known"` // hosts that the node has known for long
 	Settings  nodeSettings `json:"settings"`
 }
 
-// nodeLimits are the resources that a node is told it has.
-type nodeLimits struct {
+// NodeLimits are the resources that a node is told it has.
+type NodeLimits struct {
 	Cores    int `json:"cores"`
 	MemoryMB int `json:"memory_mb"`
 	Sockets  int `json:"sockets"`
 }
 
+// smallNode are the limits of the rig's nodes.
+var smallNode = NodeLimits{Cores: 1, MemoryMB: 128, Sockets: 512}
+
 // nodeSettings are the settings of a node's decisions. Times are microseconds.
 type nodeSettings struct {
 	Family       familyInfo     `json:"family_info"`
@@ -177,7 +180,7 @@
 		Admin:     n.admin,
 		Fleet:     fleetFile,
 		Seed:      fmt.Sprintf("%016x", seed),
-		Limits:    nodeLimits{Cores: 1, MemoryMB: 128, Sockets: 512},
+		Limits:    smallNode,
 		Settings: nodeSettings{
 			Family:      familyInfo{Mode: "proxy"},
 			Granularity: 4000,
--- a/internal/scale/chart.go
+++ b/internal/scale/chart.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"bytes"
 	"fmt"
 	"image/color"
 	"slices"
@@ -10,7 +9,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"gorseledge/internal/chart"
 )
 
 // Series is one cost of one kind in one phase, over the size of the fleet.
@@ -64,11 +64,7 @@
 		}
 	}
 	p.Legend.Top, p.Legend.Left = true, true
-	canvas := vgsvg.New(8*vg.Inch, 4.5*vg.Inch)
-	p.Draw(draw.New(canvas))
-	var text bytes.Buffer
-	_, err := canvas.WriteTo(&text)
-	return text.Bytes(), err
+	return chart.SVG(8*vg.Inch, 4.5*vg.Inch, p)
 }
 
 // drawSeries adds a series, its fitted line and what that leaves over.
