Scale run: its table names the revision at its begin

Cause: commits made while a run went on stood in its table. Change: the provenance is taken at the begin, the load at the end. Result: go test ./cmd/gorselab passes.

--- a/cmd/gorselab/scale.go
+++ b/cmd/gorselab/scale.go
@@ -86,6 +86,7 @@
 		}
 		o.Dir = filepath.Join(f.out, "nodes")
 	}
+	began := provenance(s, f)
 	var rows []scale.Row
 	var last scale.Result
 	broken, events := 0, 0
@@ -96,7 +97,7 @@
 		}
 		last = *r
 		rows, events, broken = append(rows, r.Rows...), events+r.Events, broken+len(r.Breaks)
-		from := provenance(s, f)
+		from := comments(began)
 		if err != nil {
 			from = append(from, fmt.Sprintf("unfinished: %d nodes: %v", size, err))
 		}
@@ -131,17 +132,22 @@
 	return only, nil
 }
 
-// provenance says how a table came about, one key a line as in other tables of figures.
-func provenance(s *scale.Script, f scaleFlags) []string {
+// provenance is that of a run that begins now, in the checkout whose programs it builds.
+func provenance(s *scale.Script, f scaleFlags) figures.Provenance {
+	command := fmt.Sprintf("gorselab scale %s --seed %d, with %d real nodes and a period of %g s", s.Name, f.seed, s.Real, s.Period)
 	beside := f.beside
 	if beside == "" {
 		beside = "not noted"
 	}
+	return figures.Here(command, fmt.Sprintf("%s; beside it: %s", runtime.Version(), beside), 1)
+}
+
+// comments are the lines before a table, one key a line as in other tables of figures.
+func comments(p figures.Provenance) []string {
 	load, _ := os.ReadFile("/proc/loadavg")
-	p := figures.Here(fmt.Sprintf("gorselab scale %s --seed %d, with %d real nodes and a period of %g s", s.Name, f.seed, s.Real, s.Period),
-		fmt.Sprintf("%s; load at the end %s; beside it: %s", runtime.Version(), strings.TrimSpace(string(load)), beside), 1)
+	machine := fmt.Sprintf("%s; load at the end %s", p.Machine, strings.TrimSpace(string(load)))
 	return []string{"command: " + p.Command, "revision: " + p.Revision, "date: " + p.Date, fmt.Sprint("cores: ", p.Cores),
-		"machine: " + p.Machine, fmt.Sprint("repeats: ", p.Repeats)}
+		"machine: " + machine, fmt.Sprint("repeats: ", p.Repeats)}
 }
 
 // keepScale writes the table, and a chart of each cost at which several sizes were measured.
