Groups are dealt over their homes by strain, so that the ordinary path has them in quiet times

Cause: the text before dealt every flow of a group over its homes for good where one connection a node is more than three homes bear; the ordinary path, CA mod n, decided none of them any more. Change: enter in placement.go: which home is dealt stays; whether a flow enters there goes by strain, by the search's chance or by its coming back, as for any other home. Test: TestGroupsDealt asks for the primary after quiet minutes as well.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -638,19 +638,19 @@
 	}
 	// By the client, so that one handed over mid-flow is looked for where it most likely went. What comes back had
 	// too much where it was: home, or the next two. Others go home as strain is seen. But where one connection a
-	// node is more than these three bear, a group's clients are dealt over as many homes as bear that.
-	homes := int(min(1/cmp.Or(b.due, 1), float64(len(b.base))))
-	rank, part := 0, float64(f.ca>>11)/(1<<53)
-	if further := part / (searchShare * b.blind); homes > 3 {
+	// node is more than these three bear, "home" is, for each client, one of as many homes as bear that.
+	homes, part := int(min(1/cmp.Or(b.due, 1), float64(len(b.base)))), float64(f.ca>>11)/(1<<53)
+	search, rank := (f.back || mid) && part < searchShare*b.blind, 0
+	if homes > 3 {
 		rank = int(part * float64(homes))
-	} else if (f.back || mid) && further < 1 {
-		rank = 1 + int(2*further)
+	} else if search {
+		rank = 1 + int(2*part/(searchShare*b.blind))
 	}
 	for range rank {
 		_, after = b.homeOf(f.home, after)
 	}
 	next, _ := b.homeOf(f.home, after)
-	if f.back || rank > 0 || homes > 3 || b.chance() < b.strain {
+	if f.back || search || b.chance() < b.strain {
 		// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
 		entry, full = next, min(full, math.Ceil(max(1, homeFactor*mean))-1)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -519,17 +519,15 @@
 func TestGroupsDealt(t *testing.T) {
 	const n, nodes = 90, 300
 	for _, c := range []struct {
-		name   string
-		bears  float64 // connections a server, by the members' shares; 0 where not told
-		homes  int
-		strain float64
+		name  string
+		bears float64 // connections a server, by the members' shares; 0 where not told
+		homes int
 	}{
-		{"not told", 0, 1, 1},
-		{"one connection a node and more", 1.5 * nodes, 1, 1},
-		{"a third of that", 0.34 * nodes, 1, 1},
-		{"a good fifth of that, in a jam", 0.24 * nodes, 4, 1},
-		{"a good fifth of that, after quiet minutes", 0.24 * nodes, 4, 0},
-		{"a good ninth of that", 0.115 * nodes, 8, 0.5},
+		{"not told", 0, 1},
+		{"one connection a node and more", 1.5 * nodes, 1},
+		{"a third of that", 0.34 * nodes, 1},
+		{"a good fifth of that", 0.24 * nodes, 4},
+		{"a good ninth of that", 0.115 * nodes, 8},
 	} {
 		var quotas []float64
 		if c.bears > 0 {
@@ -537,7 +535,7 @@
 		}
 		node := func(seed int) *rig {
 			g := newRig(n, func(r *Rundown) { r.Nodes, r.Seed, r.Quotas = nodes, uint64(seed), quotas })
-			g.strain, g.blind = c.strain, 0.95
+			g.strain, g.blind = 1, 0.95
 			return g
 		}
 		first, at := node(0).homes(77, c.homes), map[int]int{}
@@ -556,6 +554,14 @@
 			if _, looked := node(2*client+1).arrive(1, a); looked != placed {
 				t.Errorf("%s: client %d is at %d, handed over it is looked for at %d", c.name, client, placed, looked)
 			}
+			// After quiet minutes the ordinary path decides again, also of what is handed over.
+			for _, a.MidFlow = range []bool{false, true} {
+				quiet := node(2*client + 1)
+				quiet.strain, quiet.blind = 0, 0 // and with many connections
+				if _, at := quiet.arrive(1, a); at != int(mix(a.Key)%n) {
+					t.Errorf("%s: client %d, mid-flow %v, is at %d after quiet minutes", c.name, client, a.MidFlow, at)
+				}
+			}
 		}
 		most := 0
 		for _, held := range at {
