--- a/cmd/gorsecontrol/checklog.go
+++ b/cmd/gorsecontrol/checklog.go
@@ -47,12 +47,12 @@
 }
 
 // checkLog checks a log in a process of its own, which may end badly where the file is damaged.
-func checkLog(ctx context.Context, directory string) error {
+func checkLog(parent context.Context, directory string) error {
 	program, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkLogTimeout)
+	ctx, cancel := context.WithTimeout(parent, checkLogTimeout)
 	defer cancel()
 	check := exec.CommandContext(ctx, program, checkLogHereName, directory)
 	var said bytes.Buffer
@@ -62,6 +62,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case parent.Err() != nil:
+		return parent.Err()
 	case ctx.Err() != nil:
 		return fmt.Errorf("%s: the file is damaged: it was not checked within %v", directory, checkLogTimeout)
 	case errors.As(err, &exit) && exit.ExitCode() == exitRefused:
--- a/cmd/gorsecontrol/cost_test.go
+++ b/cmd/gorsecontrol/cost_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -119,6 +120,10 @@
 	time.Sleep(time.Until(began.Add(measuredSeconds * time.Second)))
 	seconds := time.Since(began).Seconds()
 	after, moved := usageOf(b, s.process.Process.Pid), trafficOf(nodes)
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(runtime.NumGoroutine())/shareOfNodes, "goroutines/node")
+	b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/1024/shareOfNodes, "kB/node")
 	b.ReportMetric((after.processor-before.processor)/seconds*100, "%core")
 	b.ReportMetric(float64(after.resident)/1024, "MB")
 	b.ReportMetric(float64(moved.Requests-traffic.Requests)/seconds, "polls/s")
--- a/cmd/gorsecontrol/status.go
+++ b/cmd/gorsecontrol/status.go
@@ -58,9 +58,9 @@
 		Long: "Asks every server and puts their answers together. Ends with 1 where a server did not answer.",
 		RunE: s.run(func(cmd *cobra.Command, args []string) error {
 			statuses := s.askAll(cmd.Context())
-			history, _ := s.client.History(cmd.Context(), s.writer().Address, lagHistory)
+			history := s.anyHistory(cmd.Context(), statuses)
 			now := float64(time.Now().UnixNano()) / 1e9
-			status := mergeStatus(now, s.config, statuses, history.Revisions)
+			status := mergeStatus(now, s.config, statuses, history)
 			var err error
 			if asJSON {
 				err = json.NewEncoder(cmd.OutOrStdout()).Encode(status)
@@ -110,6 +110,19 @@
 	return answers
 }
 
+// anyHistory gives the newest revisions by the first server that tells them; every server has them.
+func (s *session) anyHistory(ctx context.Context, answers []serverAnswer) []configfeed.Revision {
+	for _, answer := range answers {
+		if answer.err != nil {
+			continue
+		}
+		if history, err := s.client.History(ctx, answer.server.Address, lagHistory); err == nil {
+			return history.Revisions
+		}
+	}
+	return nil
+}
+
 // mergeStatus puts the servers' answers together. A node that several know counts as the one that heard it last says.
 func mergeStatus(now float64, config controlfile.Config, answers []serverAnswer, history []configfeed.Revision) fleetStatus {
 	status := fleetStatus{Writer: config.Writer, Lagging: []laggard{}}
--- a/internal/configfeed/feedhttp/client.go
+++ b/internal/configfeed/feedhttp/client.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	applyAttempts   = 3 // a proposal is repeated under its identifier where its answer is lost
+	applyAttempts   = 5 // a proposal is repeated under its identifier where its answer is lost
 	firstRetryDelay = 200 * time.Millisecond
 )
 
--- a/internal/configfeed/feedhttp/handler.go
+++ b/internal/configfeed/feedhttp/handler.go
@@ -14,7 +14,7 @@
 	maxPollBytes  = 16 << 10
 	maxApplyBytes = 8 << 20 // a whole state with every character of it escaped, and room to spare
 	maxEpochBytes = 4 << 10
-	maxApplies    = 2 // bodies of that size that are read and decoded at once
+	maxApplies    = 4 // bodies of that size that are read and decoded at once
 )
 
 // call answers a request that is authentic. Its error is a *StatusError, or errCallerGone.
@@ -33,7 +33,11 @@
 	mux.HandleFunc("GET "+pathState, s.authentic(0, s.state))
 	mux.HandleFunc("GET /-/ready", s.ready)
 	mux.HandleFunc("GET /-/metrics", s.metrics)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The deadline of the answer before on this connection is over while a poll is held.
+		http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // limited guards against many large bodies in memory at once.
--- a/internal/configfeed/feedhttp/server_test.go
+++ b/internal/configfeed/feedhttp/server_test.go
@@ -233,6 +233,40 @@
 	}
 }
 
+func TestLargeBodiesAreReadAFewAtOnce(t *testing.T) {
+	server := NewServer(ServerOptions{Config: configfeed.ServerConfig{Name: "c1", Writer: "c1"}})
+	for range maxApplies {
+		server.applies <- struct{}{}
+	}
+	answer := httptest.NewRecorder()
+	server.handler().ServeHTTP(answer, httptest.NewRequest(http.MethodPost, pathApply, strings.NewReader("{}")))
+	if answer.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d", answer.Code)
+	}
+}
+
+// A held poll, and one that is refused, leave the connection good for the next one.
+func TestAConnectionIsUsedAgain(t *testing.T) {
+	f := startServers(t, 1)
+	caller := newCaller(&authenticator{fleet: testFleet, keys: testKeys}, nil)
+	defer caller.closeIdle()
+	var connections int
+	dial := caller.transport.DialContext
+	caller.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connections++
+		return dial(ctx, network, address)
+	}
+	for _, body := range []string{`{"follower":"n1","wait_s":0}`, `{"follower":"n1","wait_s":0.2}`, `{}`, `{"follower":"n1","wait_s":0}`} {
+		_, err := caller.call(t.Context(), f.writer(), http.MethodPost, pathPoll, []byte(body))
+		if refused := (*StatusError)(nil); err != nil && (body != `{}` || !errors.As(err, &refused) || refused.Code != http.StatusBadRequest) {
+			t.Errorf("%s: %v", body, err)
+		}
+	}
+	if connections != 1 {
+		t.Errorf("%d connections", connections)
+	}
+}
+
 func TestAHeldPollEndsWhenItsCallerGoes(t *testing.T) {
 	f := startServers(t, 1)
 	ctx, cancel := context.WithCancel(t.Context())
