--- a/internal/rig/control_judge_test.go
+++ b/internal/rig/control_judge_test.go
@@ -48,6 +48,7 @@
 	wiped, started := faultOf(wipe)
 	stopped, continued := faultOf(stop)
 	otherWiped, otherStarted := faultOf(other)
+	allWiped, allStarted := faultOf(ControlFault{At: 20, Kind: faultWipe, Servers: []int{0, 1, 2}, For: 1})
 	late := ControlFault{At: 11, Kind: faultStop, Servers: []int{2}, For: 4}
 	lateStopped, lateContinued := faultOf(late)
 	regionCut, regionBack := faultOf(ControlFault{At: 11, Kind: faultRegion, Region: "south", For: 4})
@@ -76,6 +77,7 @@
 		{"lost with the disk at once", checkPromises, []Event{accepted(19, "a", 1), wiped, started, marks(30)}, ""},
 		{"lost with the disk while another was stopped", checkPromises, []Event{accepted(1, "a", 1), stopped, wiped, started, continued,
 			marks(30)}, ""},
+		{"lost with several disks at once", checkPromises, []Event{accepted(1, "a", 1), allWiped, allStarted, marks(30)}, ""},
 		{"lost after the disk was wiped", checkPromises, []Event{wiped, started, accepted(27, "a", 1), marks(30)}, RulePromise},
 		{"in time", checkInForce, []Event{start, accepted(10, "a", 1), seen(15, 0, "a", 1), marks(30, "a")}, ""},
 		{"late", checkInForce, []Event{start, accepted(10, "a", 1), seen(17, 0, "a", 1), marks(30, "a")}, RuleInForce},
