--- a/cmd/gorselab/main.go
+++ b/cmd/gorselab/main.go
@@ -29,8 +29,9 @@
 	err := rootCommand().ExecuteContext(ctx)
 	stop()
 	var broken brokenRules
+	var different differs
 	switch {
-	case errors.As(err, &broken):
+	case errors.As(err, &broken), errors.As(err, &different):
 		fmt.Fprintln(os.Stderr, "gorselab:", err)
 		os.Exit(exitBroken)
 	case err != nil:
@@ -48,7 +49,8 @@
 func rootCommand() *cobra.Command {
 	top := &cobra.Command{Use: "gorselab", Short: "Plays fleets on a virtual clock and keeps what came of it (simulated)",
 		SilenceUsage: true, SilenceErrors: true}
-	top.AddCommand(emulateCommand(), sweepCommand(), compareCommand(), fleetCommand(), membersCommand(), costCommand())
+	top.AddCommand(emulateCommand(), sweepCommand(), compareCommand(), fleetCommand(), membersCommand(), costCommand(),
+		servingCommand(), capacityCommand())
 	return top
 }
 
