--- a/internal/configfeed/fleet_test.go
+++ b/internal/configfeed/fleet_test.go
@@ -49,6 +49,12 @@
 		{"at rest", func(*simulation) {}, func(*simulation) {}},
 		{"2% restarting", func(s *simulation) { restart(s, s.nodes[:fleetNodes/50], 3) }, func(*simulation) {}},
 		{"107 restarting at once", func(s *simulation) { restart(s, s.nodes[:zoneNodes], 0.01) }, func(*simulation) {}},
+		{"107 restarting at once with nothing kept", func(s *simulation) {
+			restart(s, s.nodes[:zoneNodes], 0.01)
+			for _, n := range s.nodes[:zoneNodes] {
+				s.clock.After(0.02, func() { n.state = State{} })
+			}
+		}, func(*simulation) {}},
 		{"a server killed", func(*simulation) {}, func(s *simulation) { s.servers[1].kill() }},
 		{"a server stopped", func(*simulation) {}, func(s *simulation) { s.servers[3].stop() }},
 		{"the only server of a region stopped", func(*simulation) {}, func(s *simulation) { s.servers[4].stop() }},
--- a/internal/configfeed/sim_test.go
+++ b/internal/configfeed/sim_test.go
@@ -64,15 +64,15 @@
 		name := fmt.Sprintf("c%d", i)
 		addresses = append(addresses, ServerAddress{Name: name, Address: name, Region: regionsOf[i]})
 	}
-	for i, a := range addresses {
-		c := ServerConfig{Name: a.Name, Region: a.Region, Servers: addresses, Writer: "c0", Seed: uint64(i)}
+	for _, a := range addresses {
+		c := ServerConfig{Name: a.Name, Region: a.Region, Servers: addresses, Writer: "c0", Seed: s.random.Uint64()}
 		s.servers = append(s.servers, &simServer{process: process{name: a.Name, region: a.Region}, sim: s, config: c})
 	}
 	regions := []string{"north", "south", "west"}
 	for i := range nodes {
 		name := fmt.Sprintf("n%d", i)
 		region := regions[i%len(regions)]
-		c := FollowerConfig{Name: name, Region: region, Servers: addresses, Seed: uint64(i)}
+		c := FollowerConfig{Name: name, Region: region, Servers: addresses, Seed: s.random.Uint64()}
 		s.nodes = append(s.nodes, &simNode{process: process{name: name, region: region}, sim: s, config: c})
 	}
 	for _, server := range s.servers {
--- a/internal/rig/control_play_test.go
+++ b/internal/rig/control_play_test.go
@@ -114,6 +114,34 @@
 for = 12
 `
 
+// onlyServerIsolated is a course in which the only server of a node's region reaches no other server, while all reach it.
+// Changes are rare, so that the server has answered polls with nothing new by then.
+const onlyServerIsolated = `
+nodes = 3
+lasts = 18
+settle = 30
+period = 0.5
+flows = 2
+control = 5
+applies = 0.3
+in_force = 5
+
+[[control_fault]]
+at = 4
+kind = "cut"
+servers = [2]
+for = 12
+`
+
+// TestNodesLeaveAServerThatReachesNoOther shows that the server's word of that gets through to its nodes, also where it
+// keeps encoded answers.
+func TestNodesLeaveAServerThatReachesNoOther(t *testing.T) {
+	r := playWith(t, Options{Program: program, Control: serverProgram, Seed: 7}, onlyServerIsolated)
+	if len(r.Breaks) > 0 || len(r.InForce) == 0 {
+		t.Errorf("broken: %v; %d changes were judged", r.Breaks, len(r.InForce))
+	}
+}
+
 func TestNodesThatStayWithAStoppedServerAreFoundOut(t *testing.T) {
 	late := func(b Break) bool { return b.Rule == RuleInForce }
 	t.Run("right core", func(t *testing.T) {
