--- a/internal/rig/control_server.go
+++ b/internal/rig/control_server.go
@@ -80,7 +80,7 @@
 	file.Region = regions[node%len(regions)]
 	for k, s := range c.servers {
 		file.Control = append(file.Control, fleet.ControlServer{Name: s.name(), Address: s.address, Region: s.region()})
-		file.Via[s.address] = c.relays[link{from: node, to: k}].address()
+		file.Via[s.address] = c.relays[link{from: node, to: k}].Address()
 	}
 }
 
@@ -95,7 +95,7 @@
 		file.Servers = append(file.Servers,
 			controlfile.Server{Name: other.name(), Address: other.address, Region: other.region()})
 		if k != s.i {
-			file.Via[other.address] = s.control.relays[link{server: true, from: s.i, to: k}].address()
+			file.Via[other.address] = s.control.relays[link{server: true, from: s.i, to: k}].Address()
 		}
 	}
 	text, err := toml.Marshal(file)
--- a/internal/rig/faults.go
+++ b/internal/rig/faults.go
@@ -155,9 +155,9 @@
 			if k == from {
 				continue
 			}
-			r.relays[[2]int{from, k}].set(change)
+			r.relays[[2]int{from, k}].Set(change)
 			if f.Both {
-				r.relays[[2]int{k, from}].set(change)
+				r.relays[[2]int{k, from}].Set(change)
 			}
 		}
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -35,6 +35,7 @@
 type node struct {
 	rig    *Rig
 	i      int
+	label  string // its name, where that is not its number
 	dir    string
 	client string // addresses
 	admin  string
@@ -46,7 +47,12 @@
 	stopped     bool       // by SIGSTOP
 }
 
-func (n *node) name() string { return fmt.Sprintf("n%d", n.i) }
+func (n *node) name() string {
+	if n.label != "" {
+		return n.label
+	}
+	return fmt.Sprintf("n%d", n.i)
+}
 
 // launch starts a process and writes its standard error to a log until it has ended. It calls started with the process
 // id, logged with each line that is a JSON object, and exited at the end with the exit status.
