capacity: a cost whose slope may be none is not reckoned below its mean

Change: where the slope lies within two standard errors of none, the value is the line's or the mean, whichever is larger; what rounding leaves over is none; the fit in short functions.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -21,57 +21,73 @@
 	bend           float64 // coefficient of the square of the size, if one is fitted as well
 	bendError      float64 // standard error of it
 	mean, sumOfXX  float64 // of the sizes, and of their squared distances from it
+	meanOf         float64 // the figures
 	enoughForABend bool
 }
 
 const (
-	fewestPoints = 3    // two give a line without an error
-	fewestSizes  = 3    // of different value, to see a bend
-	sureBend     = 3    // standard errors by which a bend has to differ from none
-	leastChange  = 0.01 // of the slope over the measured sizes, under which it is called steady
+	fewestPoints = 3     // two give a line without an error
+	fewestSizes  = 3     // of different value, to see a bend
+	sureBend     = 3     // standard errors by which a bend has to differ from none
+	rounding     = 1e-12 // of the largest figure, under which a difference is one of rounding
+	leastChange  = 0.01  // of the slope over the measured sizes, under which it is called steady
 )
 
 var errTooFew = errors.New("fewer than three figures, or all at one size")
 
 // fitLine fits a line through points.
 func fitLine(points []point) (l line, err error) {
-	n := float64(len(points))
 	if l.points = len(points); l.points < fewestPoints {
 		return l, errTooFew
 	}
-	meanY := 0.0
+	l.measureSizes(points)
+	if l.from == l.to {
+		return l, errTooFew
+	}
+	alongXY, scale := 0.0, 0.0
+	for _, p := range points {
+		alongXY += (p.x - l.mean) * (p.y - l.meanOf)
+		scale = max(scale, math.Abs(p.y))
+	}
+	if l.slope = alongXY / l.sumOfXX; math.Abs(l.slope)*(l.to-l.from) < rounding*scale {
+		l.slope = 0
+	}
+	l.intercept = l.meanOf - l.slope*l.mean
+	l.measureResiduals(points, rounding*scale)
+	l.fitBend(points)
+	return l, nil
+}
+
+// measureSizes takes where the points lie.
+func (l *line) measureSizes(points []point) {
+	n := float64(len(points))
 	l.from, l.to = math.Inf(1), math.Inf(-1)
 	for _, p := range points {
 		l.mean += p.x / n
-		meanY += p.y / n
+		l.meanOf += p.y / n
 		l.from, l.to = min(l.from, p.x), max(l.to, p.x)
 	}
-	sumOfXY, sumOfYY := 0.0, 0.0
 	for _, p := range points {
-		dx, dy := p.x-l.mean, p.y-meanY
-		l.sumOfXX += dx * dx
-		sumOfXY += dx * dy
-		sumOfYY += dy * dy
-	}
-	if l.from == l.to {
-		return l, errTooFew
+		l.sumOfXX += (p.x - l.mean) * (p.x - l.mean)
 	}
-	l.slope = sumOfXY / l.sumOfXX
-	l.intercept = meanY - l.slope*l.mean
-	squares := 0.0
+}
+
+// measureResiduals takes what the line leaves over; what is under the least is rounding.
+func (l *line) measureResiduals(points []point, least float64) {
+	squares, total := 0.0, 0.0
 	for _, p := range points {
-		residual := l.residual(p)
-		squares += residual * residual
-		l.largest = max(l.largest, math.Abs(residual))
+		total += (p.y - l.meanOf) * (p.y - l.meanOf)
+		if residual := math.Abs(l.residual(p)); residual >= least {
+			squares += residual * residual
+			l.largest = max(l.largest, residual)
+		}
 	}
-	l.deviation = math.Sqrt(squares / (n - 2))
+	l.deviation = math.Sqrt(squares / float64(len(points)-2))
 	l.slopeError = l.deviation / math.Sqrt(l.sumOfXX)
 	l.determination = 1
-	if sumOfYY > 0 {
-		l.determination = 1 - squares/sumOfYY
+	if squares > 0 {
+		l.determination = 1 - squares/total
 	}
-	l.fitBend(points)
-	return l, nil
 }
 
 // fitBend fits the residuals by the part of the squared size that no line explains.
--- a/internal/capacity/result.go
+++ b/internal/capacity/result.go
@@ -91,6 +91,9 @@
 		return nil
 	}
 	r.value, r.deviation = r.line.at(r.size.value)
+	if r.flat() {
+		r.value = max(r.value, r.line.meanOf) // a slope that may be none must not make a cost smaller than it was measured
+	}
 	return nil
 }
 
--- a/internal/capacity/result_test.go
+++ b/internal/capacity/result_test.go
@@ -72,6 +72,36 @@
 	}
 }
 
+// A slope that cannot be told from none does not make a cost at the planned size smaller than what was measured.
+func TestFallingCostThatMayBeFlatIsTheMean(t *testing.T) {
+	tables := measured(100, 200, 400)
+	for i, y := range []float64{100, 40, 120, 30, 60, 50} {
+		tables["rest"].Rows[i].Value = y
+	}
+	r, err := memoryRow().reckon(someQuantities, tables)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.flat() || r.slope >= 0 {
+		t.Fatalf("slope %v ± %v", r.slope, r.line.slopeError)
+	}
+	near(t, "value", r.value, 400.0/6, 1e-9)
+}
+
+func TestConstantCostIsWrittenWithoutAnErrorOfItsSlope(t *testing.T) {
+	tables := measured(100, 200, 400)
+	for i := range tables["rest"].Rows {
+		tables["rest"].Rows[i].Value = 7
+	}
+	r, err := memoryRow().reckon(someQuantities, tables)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cells := strings.Join(r.cells(), " | "); strings.Contains(cells, "NaN") || !strings.Contains(cells, "7 B ± 0 B at 860") {
+		t.Error(cells)
+	}
+}
+
 func TestMeasuredAtTheSizeIsTheMedianThere(t *testing.T) {
 	row := memoryRow()
 	row.From.At = true
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -84,7 +84,10 @@
 		fit = fmt.Sprintf("`%s`, %s", r.From.Table, r.From.Source)
 	}
 	if r.fitted {
-		slope = fmt.Sprintf("%s ± %s", r.slopeText(), percent(math.Abs(r.line.slopeError/r.line.slope)))
+		slope = r.slopeText()
+		if r.slope != 0 {
+			slope += " ± " + percent(math.Abs(r.line.slopeError/r.slope))
+		}
 		value = fmt.Sprintf("%s ± %s at %s", in(r.value, r.unit), in(r.deviation, r.unit), number(r.size.value))
 		fit += fmt.Sprintf(", %d figures, R2 %s, largest residual %s", r.line.points, number(r.line.determination),
 			in(r.line.largest, r.measuredIn))
