--- a/cmd/gorselab/main.go
+++ b/cmd/gorselab/main.go
@@ -50,7 +50,7 @@
 	top := &cobra.Command{Use: "gorselab", Short: "Plays fleets on a virtual clock and keeps what came of it (simulated)",
 		SilenceUsage: true, SilenceErrors: true}
 	top.AddCommand(emulateCommand(), sweepCommand(), compareCommand(), fleetCommand(), membersCommand(), costCommand(),
-		servingCommand(), capacityCommand())
+		servingCommand(), capacityCommand(), scaleCommand(), hollowCommand())
 	return top
 }
 
--- a/internal/membership/views.go
+++ b/internal/membership/views.go
@@ -35,6 +35,20 @@
 	return all
 }
 
+// News returns the number of members that this node still tells others of, with messages that it sends anyway.
+func (m *Members) News() int { return len(m.news) }
+
+// Member returns a member by its name, including this node; false where it is not known.
+func (m *Members) Member(name string) (Member, bool) {
+	if x := m.known(name); x != nil {
+		return x.Member, true
+	}
+	return Member{}, false
+}
+
+// Digest returns a hash of the state, which is the same at two nodes that know the same about the same members.
+func (m *Members) Digest() uint64 { return m.hash() }
+
 // hash returns a hash of the state, which is the same at two nodes that know the same about the same members.
 func (m *Members) hash() (sum uint64) {
 	var buf []byte
--- a/internal/rig/control_faults.go
+++ b/internal/rig/control_faults.go
@@ -67,7 +67,7 @@
 		} else {
 			c.cuts[l]++
 		}
-		relay.set(func(w *Way) { w.Cut = c.cuts[l] > 0 })
+		relay.Set(func(w *Way) { w.Cut = c.cuts[l] > 0 })
 	}
 }
 
--- a/internal/rig/control_run.go
+++ b/internal/rig/control_run.go
@@ -61,7 +61,7 @@
 type control struct {
 	rig     *Rig
 	servers []*controlServer
-	relays  map[link]*relay
+	relays  map[link]*Relay
 	client  *feedhttp.Client
 	random  *rand.Rand
 	cuts    map[link]int // faults that cut a link, guarded by mu
@@ -70,7 +70,7 @@
 }
 
 func newControl(r *Rig) *control {
-	return &control{rig: r, relays: map[link]*relay{}, cuts: map[link]int{},
+	return &control{rig: r, relays: map[link]*Relay{}, cuts: map[link]int{},
 		client: feedhttp.NewClient(r.fleetName(), [][]byte{[]byte(fleetKey)}, nil),
 		random: rand.New(rand.NewPCG(r.Seed, drawControl+1))}
 }
@@ -79,7 +79,7 @@
 func (r *Rig) fleetName() string { return fmt.Sprintf("rig-%d", r.Seed) }
 
 func (c *control) addRelay(l link, address string) (err error) {
-	c.relays[l], err = newRelay(address, c.rig.Seed*1000+uint64(500000+l.from*100+l.to))
+	c.relays[l], err = NewRelay(address, c.rig.Seed*1000+uint64(500000+l.from*100+l.to))
 	return err
 }
 
@@ -90,7 +90,7 @@
 	}
 	for _, l := range c.relays {
 		if l != nil {
-			l.close()
+			l.Close()
 		}
 	}
 	c.client.Close()
--- a/internal/rig/history.go
+++ b/internal/rig/history.go
@@ -54,6 +54,7 @@
 	file   *os.File
 	out    *bufio.Writer
 	path   string
+	seen   func(Event) // told of each, with At as Unix seconds; nil for nobody
 }
 
 // newHistory returns a history that writes to a file, which gets its name when the history is closed as complete. With an
@@ -82,6 +83,11 @@
 		e.At = h.now()
 	}
 	h.events = append(h.events, e)
+	if h.seen != nil {
+		told := e
+		told.At += float64(h.began.UnixNano()) / 1e9
+		h.seen(told)
+	}
 	if h.out != nil {
 		json.NewEncoder(h.out).Encode(e)
 	}
