--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -20,8 +20,9 @@
 	Compare []Comparison `toml:"compare"`
 }
 
-// Comparison is a cost by which real and hollow nodes are set beside each other.
+// Comparison is a cost by which real and hollow nodes of one table are set beside each other.
 type Comparison struct {
+	Table string `toml:"table"`
 	Phase string `toml:"phase"`
 	Cost  string `toml:"cost"`
 }
--- a/internal/capacity/result_test.go
+++ b/internal/capacity/result_test.go
@@ -202,8 +202,8 @@
 	for i, source := range []figures.Source{figures.Real, figures.Hollow, figures.Real, figures.Virtual} {
 		tables["rest"].Rows[i].Source = source
 	}
-	e := &evaluation{plan: &Plan{Compare: []Comparison{{"rest", "node.memory"}, {"rest", "node.hope"}}}, measured: tables}
-	if text := e.sourcesTable(); !strings.Contains(text, "| node.memory, rest | 100 nodes | 5.09 kB | 5.11 kB | 1 |") ||
+	e := &evaluation{plan: &Plan{Compare: []Comparison{{"rest", "rest", "node.memory"}, {"rest", "rest", "node.hope"}, {"gone", "rest", "node.memory"}}}, measured: tables}
+	if text := e.sourcesTable(); !strings.Contains(text, "| `rest` | node.memory, rest | 100 nodes | 5.09 kB | 5.11 kB | 1 |") ||
 		strings.Count(text, "\n") != 3 {
 		t.Error(text)
 	}
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -154,14 +154,14 @@
 	if len(rows) == 0 {
 		return "No cost was measured on real and hollow nodes at the same size yet.\n"
 	}
-	return markdown([]string{"cost, phase", "size", "real", "hollow", "hollow / real"}, rows)
+	return markdown([]string{"run", "cost, phase", "size", "real", "hollow", "hollow / real"}, rows)
 }
 
 // compare gives a row for each size at which both kinds of node were measured by a cost.
 func (e *evaluation) compare(c Comparison) (rows [][]string) {
 	found := map[figures.Source]map[float64][]float64{figures.Real: {}, figures.Hollow: {}}
 	unit, dimension := "", ""
-	for _, table := range e.measured {
+	if table := e.measured[c.Table]; table != nil {
 		for _, row := range table.Rows {
 			if row.Phase == c.Phase && row.Cost == c.Cost && found[row.Source] != nil {
 				found[row.Source][row.Size] = append(found[row.Source][row.Size], row.Value)
@@ -178,7 +178,7 @@
 		if real != 0 {
 			ratio = number(hollow / real)
 		}
-		rows = append(rows, []string{c.Cost + ", " + c.Phase, number(size) + " " + dimension, in(real, unit), in(hollow, unit), ratio})
+		rows = append(rows, []string{"`" + c.Table + "`", c.Cost + ", " + c.Phase, number(size) + " " + dimension, in(real, unit), in(hollow, unit), ratio})
 	}
 	return rows
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -108,25 +108,37 @@
 		{"cores", strconv.Itoa(p.Cores)}, {"machine", p.Machine}, {"repeats", strconv.Itoa(p.Repeats)}}
 }
 
-// set takes one comment line's key and value; a key that is not known is a remark.
+// set takes one comment line's key and value; a key that is not known is a remark. A table that was put together of
+// several has several of each: what differs is kept side by side.
 func (p *Provenance) set(key, value string) (err error) {
 	switch key {
 	case "command":
-		p.Command = value
+		p.Command = beside(p.Command, value)
 	case "revision":
-		p.Revision = value
+		p.Revision = beside(p.Revision, value)
 	case "date":
-		p.Date = value
+		p.Date = beside(p.Date, value)
 	case "cores":
 		p.Cores, err = strconv.Atoi(value)
 	case "machine":
-		p.Machine = value
+		p.Machine = beside(p.Machine, value)
 	case "repeats":
 		p.Repeats, err = strconv.Atoi(value)
 	}
 	return err
 }
 
+// beside adds a value to those that there are, once.
+func beside(values, value string) string {
+	switch {
+	case values == "":
+		return value
+	case slices.Contains(strings.Split(values, " / "), value):
+		return values
+	}
+	return values + " / " + value
+}
+
 // missing gives the first key that has no value.
 func (p Provenance) missing() string {
 	for _, entry := range p.entries() {
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -110,3 +110,17 @@
 		}
 	}
 }
+
+// A table that was put together of several runs names what differs among them.
+func TestProvenanceOfSeveralRunsStandsSideBySide(t *testing.T) {
+	several := strings.Replace(scaleText, "nodes,kind", "# command: gorselab scale scale-control --seed 1\n# revision: def456\n"+
+		"# date: 2026-12-02 05:27 UTC\n# cores: 8\n# machine: go1.26.8; beside it: other work\n# repeats: 1\nnodes,kind", 1)
+	got, err := Parse("scale", []byte(several))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Command != "gorselab scale scale-control --seed 1" || got.Revision != "abc123 / def456" ||
+		got.Date != "2026-12-02 05:06 UTC / 2026-12-02 05:27 UTC" || got.Machine != "go1.26.8; beside it: other work" {
+		t.Errorf("%+v", got.Provenance)
+	}
+}
