--- a/internal/configfeed/feedstore/feedstore_test.go
+++ b/internal/configfeed/feedstore/feedstore_test.go
@@ -122,9 +122,6 @@
 }
 
 func TestHistoryIsBounded(t *testing.T) {
-	if testing.Short() {
-		t.Skip("thousands of synced writes")
-	}
 	directory := t.TempDir()
 	store, _ := openStore(t, directory)
 	w := &writer{t: t}
