Handed over mid-flow, a dealt group's flow is looked for at its home while strain is over a half

Cause: enter in placement.go looked for what is handed over at its dealt home by chances alone (the search's, strain's), though most of it had been placed there. Change: it goes there always while strain, the chance by which it was placed there, is over a half.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -650,7 +650,7 @@
 		_, after = b.homeOf(f.home, after)
 	}
 	next, _ := b.homeOf(f.home, after)
-	if f.back || search || b.chance() < b.strain {
+	if f.back || search || mid && homes > 3 && b.strain > 0.5 || b.chance() < b.strain {
 		// Guards against a large group jamming its home: a node that holds few a server sends on sooner.
 		entry, full = next, min(full, math.Ceil(max(1, homeFactor*mean))-1)
 	}
