Test of changed bytes of the log tries further bytes until a server has met one

Cause: TestAChangedByteOfTheLogIsNotBelieved tried one byte in 997, and a server only where the refusal names a page; the log's bytes hold times, so which parts of a page they hit differs from run to run. The demands are the same.

--- a/cmd/gorsecontrol/serve_test.go
+++ b/cmd/gorsecontrol/serve_test.go
@@ -162,10 +162,22 @@
 // A damaged head makes the library take the one before it, which is the state one write earlier.
 func TestAChangedByteOfTheLogIsNotBelieved(t *testing.T) {
 	text, whole := logOf(t, 40)
-	const step = 997 // a prime, so that all parts of a page come up
+	const step = 997    // a prime, so that all parts of a page come up
+	const sweeps = 20   // where a page's parts lie differs from log to log: further bytes are tried until a server has been
+	const between = 149 // bytes from one sweep to the next
 	served := newServers(t, 1)[0]
 	refused, servedRefused := 0, 0
-	for at := 5; at < len(text); at += step {
+	var places []int
+	for sweep := range sweeps {
+		for at := 5 + sweep*between%step; at < len(text); at += step {
+			places = append(places, at)
+		}
+	}
+	first := (len(text) - 5 + step - 1) / step // places of the first sweep, all of which are tried
+	for i, at := range places {
+		if i >= first && servedRefused > 0 {
+			break
+		}
 		directory := t.TempDir()
 		path := filepath.Join(directory, "configuration.db")
 		changed := append([]byte(nil), text...)
