Shutdown accepts the whole queue of its listener before the node exits

What callers saw: in an upgrade without a handover, clients that connect near the end of the old process get a reset in place of an answer.

Change: CloseListener is answered by the new input ListenerClosed, and the node exits only after it (or at its last deadline).

The same fault elsewhere: a listener without an admin address was closed at the exit with its queue (it stays open as before, and its queue is accepted before the exit); a process that had not begun to accept left its queue; with connect timeouts under 0.2 s the exit came before the listener's grace; a predecessor whose successor died late in its shutdown did not close its listener; and a predecessor said that it hands over while its accepting goroutine could still hold a client (TakeOver now follows the last accepted client).

--- a/internal/emulator/node_process.go
+++ b/internal/emulator/node_process.go
@@ -197,6 +197,8 @@
 		n.updatePeers(e.Update)
 	case node.OpenListener:
 		n.takeOver()
+	case node.CloseListener:
+		n.deliver(node.ListenerClosed{}) // the simulated listener has no queue
 	}
 }
 
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -23,6 +23,8 @@
 		n.handleQuery(input)
 	case ListenerOpened:
 		n.startup.listenerClosed = false
+	case ListenerClosed:
+		n.shutdown.listenerClosed = true
 	case NodesChanged:
 		n.setMemberCount(input.Nodes)
 	case SettingsReceived:
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -63,7 +63,8 @@
 	LogConnection struct{ Record ConnectionRecord }
 	// OpenListener asks, once, for the listener to be opened that was kept closed at the start.
 	OpenListener struct{}
-	// CloseListener closes the listener after accepting the connections that wait in its queue.
+	// CloseListener asks, once, for the connections in the listener's queue to be accepted and the listener to be closed.
+	// Its result is ListenerClosed.
 	CloseListener struct{}
 	// Exit asks the owner to end the process, as nothing is left to do or the time for a shutdown is over.
 	Exit struct{}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -51,6 +51,8 @@
 	gossip           []peers.HostLoad
 	settingsResults  []SettingsApplied
 	listenerRequests int
+	holdListener     bool // the test supplies ListenerClosed, the result of CloseListener
+	closeRequests    int  // how many times CloseListener was emitted
 	exited           bool
 
 	updates   []HandoverUpdate
@@ -135,6 +137,11 @@
 		harness.connectionState[effect.Conn] = "write closed"
 	case Close:
 		return harness.close(effect)
+	case CloseListener:
+		harness.closeRequests++
+		if !harness.holdListener {
+			return ListenerClosed{}
+		}
 	case LogConnection:
 		harness.records = append(harness.records, effect.Record)
 	default:
--- a/internal/node/inputs.go
+++ b/internal/node/inputs.go
@@ -74,6 +74,8 @@
 	Shutdown struct{}
 	// ListenerOpened says that the listener is open.
 	ListenerOpened struct{}
+	// ListenerClosed says that the listener is closed, and that Accepted was reported for every client in its queue.
+	ListenerClosed struct{}
 	// NodesChanged says how many nodes share the hosts now, including this one.
 	NodesChanged struct{ Nodes int }
 	// SettingsReceived is a revision of the live settings, answered by SettingsApplied in the same Apply.
@@ -125,6 +127,7 @@
 func (Shutdown) input()           {}
 func (Query) input()              {}
 func (ListenerOpened) input()     {}
+func (ListenerClosed) input()     {}
 func (HandoverReceived) input()   {}
 func (PeerProcessChanged) input() {}
 func (GossipReceived) input()     {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,10 @@
 	// not support handover.
 	Handover *HandoverState
 
+	// SharesAddress says that another process may listen on the same address. A shutdown then closes the listener early, so
+	// that new clients reach that process.
+	SharesAddress bool
+
 	// AwaitSettings is for how many seconds at most the listener stays closed until a first revision of the live settings
 	// is received; zero if none is expected.
 	AwaitSettings float64
@@ -73,6 +77,7 @@
 
 	healthCheckLine     string
 	healthChecksEnabled bool
+	sharesAddress       bool
 	lineBuffer          []byte // the line that handleLine handles
 }
 
@@ -105,6 +110,7 @@
 		tenants:             indexByName(start.Listener.Tenants),
 		healthCheckLine:     healthCheckLineFor(start.Settings.LoadReports),
 		healthChecksEnabled: start.Settings.HealthChecks,
+		sharesAddress:       start.SharesAddress,
 	}
 	n.applyList(placement.ListCached, start.CachedList)
 	if start.Handover != nil {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -18,7 +18,8 @@
 type shutdown struct {
 	started        bool
 	startedAt      float64
-	listenerClosed bool // CloseListener has been emitted
+	closeRequested bool // CloseListener has been emitted
+	listenerClosed bool // no client comes any more: ListenerClosed has been received
 	exitRequested  bool // Exit has been emitted
 }
 
@@ -55,13 +56,33 @@
 	if !n.shutdown.started {
 		return
 	}
-	inFlight := n.drainFlows()
+	limit := n.exitTime(n.drainFlows())
 	n.rejectIdleClients()
-	if !n.shutdown.listenerClosed && n.shutdown.passed(n.now, listenerGrace) {
-		n.shutdown.listenerClosed = true
+	n.closeListenerWhenDue(limit)
+	n.exitWhenDone(limit)
+}
+
+// exitTime returns after how many seconds of the shutdown the node exits at the latest. It is never before the clients in
+// the listener's queue can be answered, however short the connect timeouts are.
+func (n *Node) exitTime(inFlight bool) float64 {
+	if inFlight {
+		return maxHoldTime
+	}
+	return max(n.drainTime(), listenerGrace+finalAnswerTime)
+}
+
+// closeListenerWhenDue asks for the listener to be closed, once. A listener whose address another process may share is
+// closed after listenerGrace, so that new clients reach that process. Any other listener stays open until the node could
+// exit, or until the clients in its queue can only just be answered.
+func (n *Node) closeListenerWhenDue(limit float64) {
+	if n.shutdown.closeRequested || n.upgrade.clientsHandedOver || !n.shutdown.passed(n.now, listenerGrace) {
+		return
+	}
+	due := n.sharesAddress || n.connections.onlyHealthChecksLeft() || n.shutdown.passed(n.now, limit-finalAnswerTime)
+	if due {
+		n.shutdown.closeRequested = true
 		n.emit(CloseListener{})
 	}
-	n.exitWhenDone(inFlight)
 }
 
 // drainFlows migrates the established flows, including those established since the shutdown began, and reports whether
@@ -93,30 +114,25 @@
 	}
 }
 
-// exitWhenDone asks for the exit, once, when all connections are closed or the time is over. Otherwise it schedules the
-// next wake.
-func (n *Node) exitWhenDone(inFlight bool) {
-	limit := n.drainTime()
-	if inFlight {
-		limit = maxHoldTime
-	}
-	mayExit := n.upgrade.clientsHandedOver || n.shutdown.passed(n.now, listenerGrace)
-	done := mayExit && n.connections.onlyHealthChecksLeft()
+// exitWhenDone asks for the exit, once, when no client comes any more and all connections are closed, or when the time is
+// over. Otherwise it schedules the next wake.
+func (n *Node) exitWhenDone(limit float64) {
+	noMoreClients := n.upgrade.clientsHandedOver || n.shutdown.listenerClosed
+	done := noMoreClients && n.connections.onlyHealthChecksLeft()
 	if !n.shutdown.exitRequested && (done || n.shutdown.passed(n.now, limit)) {
 		n.shutdown.exitRequested = true
 		n.emit(Exit{})
 		return
 	}
-	n.scheduleShutdownStep()
+	n.scheduleShutdownStep(limit)
 }
 
 // scheduleShutdownStep schedules a wake for the next step of the shutdown.
-func (n *Node) scheduleShutdownStep() {
+func (n *Node) scheduleShutdownStep(limit float64) {
 	drained := n.drainTime()
-	for _, step := range []float64{listenerGrace, drained - finalAnswerTime, drained, maxHoldTime} {
+	for _, step := range []float64{listenerGrace, drained - finalAnswerTime, drained, limit - finalAnswerTime, limit} {
 		if !n.shutdown.passed(n.now, step) {
 			n.timers.balancerWake = min(n.timers.balancerWake, n.shutdown.startedAt+step)
-			return
 		}
 	}
 }
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -117,3 +117,98 @@
 		t.Error("passed does not count from the beginning of the shutdown")
 	}
 }
+
+// A node that exits before the clients in its listener's queue are accepted resets their connections. It exits only after
+// the listener has been reported as closed, and answers the clients that were accepted until then.
+func TestShutdownAnswersClientsInListenerQueue(t *testing.T) {
+	for name, shares := range map[string]bool{"address shared": true, "address not shared": false} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, "proxy", 1, 100)
+			harness.node.sharesAddress = shares
+			harness.holdListener = true
+			harness.apply(Shutdown{})
+			harness.advance(0.5)
+			if harness.closeRequests != 0 || harness.exited {
+				t.Fatalf("0.5 s after the request: %d requests to close the listener, exited %v", harness.closeRequests, harness.exited)
+			}
+			harness.advance(0.2)
+			if harness.closeRequests != 1 || harness.exited {
+				t.Fatalf("%d requests to close the listener, exited %v; want 1, and no exit before its queue is empty",
+					harness.closeRequests, harness.exited)
+			}
+			client := harness.accept()
+			harness.apply(ListenerClosed{})
+			if harness.exited {
+				t.Fatal("exited before the last client in the queue was answered")
+			}
+			harness.receive(client, "OPEN 0c "+chatRequest+"\r\n", StreamOpen)
+			harness.receive(client, "", StreamEnded)
+			harness.advance(0.1)
+			if got := harness.written[client]; got != "BUSY\r\n" || !harness.exited {
+				t.Fatalf("the last client was sent %q, exited %v; want BUSY and an exit", got, harness.exited)
+			}
+		})
+	}
+}
+
+// A listener whose address no other process shares is the only one for new clients. It stays open as long as the node has
+// flows to serve.
+func TestUnsharedListenerStaysOpenDuringShutdown(t *testing.T) {
+	node := beginShutdown(t, "pass")
+	node.holdListener = true
+	node.advance(1)
+	if node.closeRequests != 0 {
+		t.Fatal("the listener was closed although a flow is established and no other process shares the address")
+	}
+	node.receive(node.established, "", StreamBroken)
+	node.receive(node.waiting, "", StreamBroken)
+	node.receive(node.late, "", StreamBroken)
+	node.advance(0.1)
+	if node.closeRequests != 1 {
+		t.Fatalf("%d requests to close the listener once no flow is left, want 1", node.closeRequests)
+	}
+}
+
+// A predecessor that shuts down leaves the listener to its successor. If the successor ends first, clients are in the
+// predecessor's queue again, and an exit before they are accepted would reset them.
+func TestShutdownClosesListenerAfterSuccessorIsGone(t *testing.T) {
+	harness := newHarness(t, "proxy", 1, 100)
+	harness.node.sharesAddress = true
+	harness.holdListener = true
+	harness.establish(chatRequest)
+	harness.apply(Query{Question: ClaimHandover})
+	harness.apply(Query{Question: TakeOver})
+	harness.apply(Shutdown{})
+	harness.advance(0.7)
+	if harness.closeRequests != 0 {
+		t.Fatal("the listener was closed while the successor accepts the clients")
+	}
+	harness.apply(SuccessorGone{})
+	harness.advance(0.1)
+	if harness.closeRequests != 1 || harness.exited {
+		t.Fatalf("%d requests to close the listener after the successor's end, exited %v; want 1, and no exit yet",
+			harness.closeRequests, harness.exited)
+	}
+}
+
+// Connect timeouts can be shorter than the time for which the listener stays open. The node must not exit before that.
+func TestShortConnectTimeoutsDoNotEndShutdownEarly(t *testing.T) {
+	harness := newHarness(t, "proxy", 1, 100)
+	harness.node.listener.MaxConnectTimeout = 0.05
+	harness.node.sharesAddress = true
+	harness.holdListener = true
+	client := harness.accept()
+	harness.apply(Shutdown{})
+	harness.advance(0.59)
+	if harness.exited {
+		t.Fatal("exited while the listener was open")
+	}
+	harness.advance(0.02)
+	if harness.closeRequests != 1 || harness.written[client] != "BUSY\r\n" {
+		t.Fatalf("%d requests to close the listener, an idle client was sent %q", harness.closeRequests, harness.written[client])
+	}
+	harness.advance(0.2)
+	if !harness.exited {
+		t.Fatal("no exit although the time is over")
+	}
+}
--- a/internal/sockets/connection.go
+++ b/internal/sockets/connection.go
@@ -151,13 +151,19 @@
 // remoteEnded reports whether the remote side has ended its stream or reset the connection, even if bytes that it sent
 // before are not read yet.
 func (c *connection) remoteEnded() bool {
-	ended := false
-	err := c.raw.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(polled, 0)
-		ended = err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return pollEvents(c.raw, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// pollEvents returns which of the events that poll(2) knows have occurred at a socket: those asked for, errors and the end
+// of the connection. It returns none if the socket is closed.
+func pollEvents(raw syscall.RawConn, events int16) (occurred int16) {
+	raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, err := unix.Poll(polled, 0); err == nil && n > 0 {
+			occurred = polled[0].Revents
+		}
 	})
-	return err == nil && ended
+	return occurred
 }
 
 // dial connects to a host in a goroutine of its own. If the client that the connection is for has disconnected, the dial
--- a/internal/sockets/start.go
+++ b/internal/sockets/start.go
@@ -40,6 +40,7 @@
 		CachedList:         cached,
 		MaxDescriptors:     max(c.maxDescriptors()-overhead, minConnectionDescriptors),
 		DescriptorOverhead: overhead,
+		SharesAddress:      c.AdminAddress != "",
 	}, nil
 }
 
--- a/internal/sockets/upgrade.go
+++ b/internal/sockets/upgrade.go
@@ -99,7 +99,7 @@
 	case m.Update != nil && (p == u.predecessor || p == u.successor):
 		return node.PeerProcessChanged{Update: *m.Update}
 	case m.State != nil && p == u.predecessor && !s.listener.opened:
-		s.listener.openPending = true
+		s.listener.requestOpen()
 		return node.HandoverReceived{State: m.State}
 	case m.Transfer != nil:
 		return s.inheritConnection(p, m)
@@ -109,20 +109,27 @@
 		u.successor = p
 		limitMemory(s.config.Limits.MemoryMB, true) // shared with the successor
 		return node.Query{Question: node.ClaimHandover}
-	case m.Request == handover.RequestClients && p == u.successor:
+	case m.Request == handover.RequestClients && p == u.successor && !u.handedOver:
 		s.handOverClients()
-		return node.Query{Question: node.TakeOver}
 	}
 	return nil
 }
 
-// handOverClients stops accepting, so that the successor accepts the clients in the backlog.
+// handOverClients stops accepting, so that the successor accepts the clients in the queue. The core is told once it knows
+// all clients that this process has accepted, unless the successor has ended by then.
 func (s *server) handOverClients() {
+	successor := s.upgrade.successor
+	takeOver := func() node.Input {
+		if s.upgrade.successor != successor {
+			return nil
+		}
+		return node.Query{Question: node.TakeOver}
+	}
 	s.upgrade.handedOver = true
 	if s.fleet != nil { // the node stays one member, which the successor represents from now on
 		s.fleet.SetHandedOver(true)
 	}
-	s.listener.suspend()
+	s.listener.suspend(func() { s.do(takeOver) })
 }
 
 // reclaimClients resumes accepting after the end of a successor that had taken over the clients.
@@ -211,7 +218,9 @@
 	}
 	s.log.Info().AnErr("why", reason).Msg("handover link to the predecessor closed")
 	// A core that is ready waited only for the predecessor's answer, which will not arrive.
-	s.listener.openPending = s.listener.coreReady && !s.listener.opened
+	if s.listener.coreReady {
+		s.listener.requestOpen()
+	}
 	return node.PredecessorGone{}
 }
 
