Upgrade without handover directs new clients to the successor alone

Cause: two processes that listen with SO_REUSEPORT each get a share of new connections until one closes its listener, and a process that shuts down rejects its share. Beside that, an operator who ends the old process as soon as the new one is ready has it reject the clients whose connection it accepted and whose first line is still to come.

Change: once the successor listens, it attaches a program to the group of listeners that returns its own index, by SO_ATTACH_REUSEPORT_CBPF. It counts the group in /proc/self/net/tcp, as the newest listener is the last. An index outside the group falls back to the hash, so a process that is left alone gets all. At its own SIGTERM it directs connections back to the process before it if that still listens. Where the kernel refuses, a log line says so and all stays as it was.

--- a/internal/node/inputs.go
+++ b/internal/node/inputs.go
@@ -72,8 +72,9 @@
 	TimerFired struct{}
 	// Shutdown asks for a graceful shutdown.
 	Shutdown struct{}
-	// ListenerOpened says that the listener is open.
-	ListenerOpened struct{}
+	// ListenerOpened says that the listener is open. Replaces says that another process accepted the clients until now, and
+	// that new clients reach this process alone.
+	ListenerOpened struct{ Replaces bool }
 	// ListenerClosed says that the listener is closed, and that Accepted was reported for every client in its queue.
 	ListenerClosed struct{}
 	// NodesChanged says how many nodes share the hosts now, including this one.
--- a/internal/node/query.go
+++ b/internal/node/query.go
@@ -7,7 +7,7 @@
 	reply := Reply{OK: true}
 	switch query.Question {
 	case IsReady:
-		reply.OK = n.isReady()
+		reply.OK = n.isReady() && n.mayReplaceOther()
 	case GetStatistics:
 		reply.Statistics = n.currentStatistics()
 	case DisableHost, EnableHost:
--- a/internal/node/startup.go
+++ b/internal/node/startup.go
@@ -2,9 +2,10 @@
 
 // startup is the state that decides when a new process may open its listener.
 type startup struct {
-	listenerClosed bool // the listener is not open yet
-	openRequested  bool // OpenListener has been emitted
-	hasPredecessor bool // another process serves the clients until this one can serve
+	listenerClosed bool    // the listener is not open yet
+	openRequested  bool    // OpenListener has been emitted
+	hasPredecessor bool    // another process serves the clients until this one can serve
+	replacesFrom   float64 // when the other process may shut down without rejecting clients; 0 if there is none
 }
 
 // newStartup returns the state of a process before its first input.
@@ -15,6 +16,15 @@
 	}
 }
 
+// opened records that the listener is open. Clients that the other process accepted before may still send their first line
+// there for a moment.
+func (s *startup) opened(now float64, opened ListenerOpened) {
+	s.listenerClosed = false
+	if opened.Replaces {
+		s.replacesFrom = now + firstLineGrace
+	}
+}
+
 // awaitsOpening reports whether the listener is closed and OpenListener has not been emitted yet.
 func (s *startup) awaitsOpening() bool { return s.listenerClosed && !s.openRequested }
 
@@ -24,6 +34,10 @@
 // isReady reports whether clients may be sent to this node.
 func (n *Node) isReady() bool { return !n.startup.listenerClosed && n.canServe() }
 
+// mayReplaceOther reports whether the process that accepted the clients before may shut down now: the clients that it
+// accepted have had the time to send their first line, which it would reject from then on.
+func (n *Node) mayReplaceOther() bool { return n.now >= n.startup.replacesFrom }
+
 // canOpenListener reports whether the listener may be opened: the node does not wait for live settings, and if another
 // process serves the clients until then, this node can serve them.
 func (n *Node) canOpenListener() bool {
--- a/internal/node/startup_test.go
+++ b/internal/node/startup_test.go
@@ -49,3 +49,34 @@
 		t.Errorf("%d requests for the listener after the time was over, wanted 1", harness.listenerRequests)
 	}
 }
+
+// An operator who ends the old process as soon as the new one is ready would have it reject clients that it accepted before
+// and whose first line is still to come. A node that replaces another process reports that it is ready only after the time
+// in which a client sends its first line; readiness checks of clients, which reach it alone, are answered at once.
+func TestReadyOnceOtherProcessMayShutDown(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		opened      ListenerOpened
+		readyAtOnce bool
+	}{
+		{"replaces another process", ListenerOpened{Replaces: true}, false},
+		{"replaces none", ListenerOpened{}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			harness := startAwaitingSettings(t)
+			harness.apply(ListReceived{hostList(4)})
+			harness.advance(1)
+			harness.apply(c.opened)
+			if got := harness.query(IsReady, "").OK; got != c.readyAtOnce {
+				t.Errorf("ready at once: %v, want %v", got, c.readyAtOnce)
+			}
+			if !isReadyByPing(harness) {
+				t.Error("a client's readiness check was answered with not ready")
+			}
+			harness.advance(firstLineGrace + 0.01)
+			if !harness.query(IsReady, "").OK {
+				t.Errorf("not ready %g s after the listener was opened", firstLineGrace)
+			}
+		})
+	}
+}
--- a/internal/sockets/listener.go
+++ b/internal/sockets/listener.go
@@ -32,6 +32,9 @@
 	openPending bool // the loop is to begin accepting before it handles the next input
 	opened      bool // accepting has begun
 	closing     bool // accepting does not begin any more
+
+	steering steering // of new connections, if another process listens on the address
+	steered  bool     // new connections reach this process alone
 }
 
 // stopRequest asks the accepting goroutine to stop accepting. The goroutine calls done, once, when it has handed every
@@ -176,12 +179,37 @@
 	}
 }
 
-// listenOn begins accepting on a socket that this process opened itself.
+// listenOn begins accepting on a socket that this process opened itself, beside the process that serves the address. New
+// clients reach this process alone from now on; without that, those that the kernel assigns to the other process are
+// rejected when it shuts down. A process that shuts down itself leaves the clients to the other one.
 func (s *server) listenOn(socket *net.TCPListener) node.Input {
-	s.listener.socket = socket
+	if s.shuttingDown {
+		socket.Close()
+		return nil
+	}
+	l := &s.listener
+	l.socket = socket
+	if err := l.steering.steerHere(socket); err != nil {
+		s.log.Warn().Err(err).Msg("new clients not directed to this process alone: the other process accepts a share of them until it closes its listener")
+	} else if l.steered = len(l.steering.others) > 0; l.steered {
+		s.log.Info().Int("other_listeners", len(l.steering.others)).Msg("new clients directed to this process alone")
+	}
 	return s.openWithoutPredecessor()
 }
 
+// steerBack directs new clients to the process that served the address before this one, if it still does.
+func (s *server) steerBack() {
+	l := &s.listener
+	if l.socket == nil {
+		return
+	}
+	if steered, err := l.steering.steerBack(l.socket); err != nil {
+		s.log.Warn().Err(err).Msg("new clients not directed back to the other process")
+	} else if steered {
+		s.log.Info().Msg("new clients directed back to the other process")
+	}
+}
+
 // openWithoutPredecessor begins accepting without waiting any longer for the predecessor's answer.
 func (s *server) openWithoutPredecessor() node.Input {
 	s.listener.requestOpen()
--- a/internal/sockets/listener_test.go
+++ b/internal/sockets/listener_test.go
@@ -21,20 +21,27 @@
 	return s
 }
 
-// connectClients connects a number of clients and returns once all of them are in the listener's queue, or accepted.
+// connectClients connects a number of clients to a server's listener, as connectClient does.
 func connectClients(t *testing.T, s *server, count int) {
 	t.Helper()
 	for range count {
-		client, err := net.DialTCP("tcp", nil, s.listener.socket.Addr().(*net.TCPAddr))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { client.Close() })
-		if _, err := client.Write([]byte("O")); err != nil {
-			t.Fatal(err)
-		}
-		waitUntilAcknowledged(t, client)
+		connectClient(t, s.listener.socket.Addr())
+	}
+}
+
+// connectClient connects a client that sends a part of a line. It returns once the client is in the listener's queue, or
+// accepted.
+func connectClient(t *testing.T, address net.Addr) {
+	t.Helper()
+	client, err := net.DialTCP("tcp", nil, address.(*net.TCPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if _, err := client.Write([]byte("O")); err != nil {
+		t.Fatal(err)
 	}
+	waitUntilAcknowledged(t, client)
 }
 
 // waitUntilAcknowledged waits until the other side has acknowledged all bytes, so that its handshake is complete as well.
@@ -142,8 +149,20 @@
 func TestClosedListenerIsNotOpened(t *testing.T) {
 	s := newSteppedServer(t, "127.0.0.1:1")
 	s.closeListener()
-	s.listenOn(listenLoopback(t))
+	s.openWithoutPredecessor()
 	if s.listener.openPending {
 		t.Error("accepting is to begin after the listener was closed")
 	}
 }
+
+// A process that shuts down could still begin to listen beside the other process of an upgrade, and reject clients that the
+// other one would serve.
+func TestProcessThatShutsDownDoesNotListen(t *testing.T) {
+	s := newSteppedServer(t, "127.0.0.1:1")
+	s.beginShutdown()
+	socket := listenLoopback(t)
+	s.listenOn(socket)
+	if s.listener.openPending || socket.Close() == nil {
+		t.Errorf("accepting is to begin: %v, or the socket was left open", s.listener.openPending)
+	}
+}
--- a/internal/sockets/origin.go
+++ b/internal/sockets/origin.go
@@ -47,11 +47,10 @@
 			return o, nil
 		}
 	}
-	var listenConfig net.ListenConfig
-	listener, err := listenConfig.Listen(ctx, "tcp", config.Listen)
+	listener, err := listen(ctx, config.Listen, net.ListenConfig{})
 	switch {
 	case err == nil:
-		o.listener = listener.(*net.TCPListener)
+		o.listener = listener
 		if config.AdminAddress != "" {
 			// A later version can then start beside this one even if the handover fails.
 			shareAddress(o.listener)
@@ -128,6 +127,17 @@
 	return &claim{listener: listener, state: answer.State, link: link}, nil
 }
 
+// listen listens for plain TCP connections: the kernel does not let a process steer the connections of a multipath TCP
+// listener, which is the default of package net.
+func listen(ctx context.Context, address string, config net.ListenConfig) (*net.TCPListener, error) {
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return listener.(*net.TCPListener), nil
+}
+
 // shareAddress lets another process of this user listen on the same address. A failure is ignored: the node serves
 // without sharing its address.
 func shareAddress(listener syscall.Conn) {
@@ -143,11 +153,10 @@
 // listenShared listens on an address that another process uses, as soon as that process shares it or has ended. It
 // returns nil if the context ends first.
 func listenShared(ctx context.Context, address string) *net.TCPListener {
-	listenConfig := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return setReusePort(raw) }}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return setReusePort(raw) }}
 	for ctx.Err() == nil {
-		listener, err := listenConfig.Listen(ctx, "tcp", address)
-		if err == nil {
-			return listener.(*net.TCPListener)
+		if listener, err := listen(ctx, address, config); err == nil {
+			return listener
 		}
 		pause(ctx, retryPause)
 	}
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -48,6 +48,8 @@
 	discovery   discoveryWatch
 	gossip      chan []peers.HostLoad // load gossip to be sent to the other nodes; nil if this node sends none
 	fleet       view.Membership       // nil for a node that belongs to no fleet
+
+	shuttingDown bool // a graceful shutdown has begun
 }
 
 // event is what a goroutine hands to the loop: an input for the core or, if the server's own state is involved, a step
@@ -126,7 +128,7 @@
 	if s.listener.openPending {
 		s.listener.openPending = false
 		s.startAccepting()
-		if !s.apply(node.ListenerOpened{}) {
+		if !s.apply(node.ListenerOpened{Replaces: s.listener.steered}) {
 			return false
 		}
 	}
@@ -167,6 +169,8 @@
 	if s.fleet != nil && !s.upgrade.handedOver {
 		s.fleet.Leave()
 	}
+	s.shuttingDown = true
+	s.steerBack()
 	return node.Shutdown{}
 }
 
