Configuration page shows what is known as of the revision in force

What callers saw: for a moment after a new revision, /-/config and the metrics lb.config.* showed it together with the refusal of the revision before and a newest version older than the one in force. Six test processes side by side on: 2 of 144 tests failed, both at live_settings_test.go:121 with revision 4, newest revision 3, the refusal of 3.

Cause: the page joined two records made at different moments. The node reports that a revision is in force (configFollower.setInForce) before the follower records it, ends the refusal and publishes its view.

Change: what is known from the control servers is read as of the state in force. A refusal of that version or an older one has ended, and the newest version is at least the one in force. So every reader sees one state, whichever record is behind. The same fault elsewhere: a process that does not follow kept a refusal that a revision of its peer process had ended, for as long as the other followed; the same change mends it. A poll's report and the control servers' status are made from one record each (from reading).

TestViewShowsOneMoment fails on three of its four cases without the change.

--- a/internal/fleet/config_follower_test.go
+++ b/internal/fleet/config_follower_test.go
@@ -76,6 +76,45 @@
 	}
 }
 
+// Guards against a view made of two moments: the node puts a revision in force before its follower records that, or while
+// another process follows, and the view showed it with the refusal that it ends and a newest version older than itself.
+func TestViewShowsOneMoment(t *testing.T) {
+	refusal := func(number uint64) *configfeed.Refusal {
+		return &configfeed.Refusal{Version: testState(number).Version, Reason: "does not fit"}
+	}
+	for _, c := range []struct {
+		name        string
+		known       configfeed.FollowerView // as of the follower's last input
+		inForce     uint64
+		wantNewest  uint64
+		wantRefused uint64 // 0 for no refusal
+	}{
+		{"the refused revision is older than the one in force",
+			configfeed.FollowerView{Version: testState(2).Version, Newest: testState(3).Version, Refused: refusal(3)}, 4, 4, 0},
+		{"the refused revision is in force after all, through the peer process",
+			configfeed.FollowerView{Version: testState(2).Version, Newest: testState(3).Version, Refused: refusal(3)}, 3, 3, 0},
+		{"the refused revision is newer than the one in force",
+			configfeed.FollowerView{Version: testState(2).Version, Newest: testState(5).Version, Refused: refusal(5)}, 4, 5, 5},
+		{"nothing refused, nothing known",
+			configfeed.FollowerView{}, 4, 4, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFollower(t, view.Options{InForce: testRevision(t, 2)})
+			f.lastView = c.known
+			f.inForce(testRevision(t, c.inForce))
+			v := f.view()
+			refused := uint64(0)
+			if v.Refused != nil {
+				refused = v.Refused.Revision
+			}
+			if v.Revision != c.inForce || v.Newest.Revision != c.wantNewest || refused != c.wantRefused {
+				t.Errorf("revision %d, newest %d, refused %d; want %d, %d, %d", v.Revision, v.Newest.Revision, refused,
+					c.inForce, c.wantNewest, c.wantRefused)
+			}
+		})
+	}
+}
+
 // Guards against a follower that continues from a state that is damaged or missing, and so never receives the keys that it
 // lacks.
 func TestRevisionWithoutValidStateIsNotRecorded(t *testing.T) {
--- a/internal/fleet/config_view.go
+++ b/internal/fleet/config_view.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"gorseledge/internal/configfeed"
 	"gorseledge/internal/fleet/view"
 )
 
@@ -11,10 +12,9 @@
 func (f *configFollower) view() *view.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.lastView
+	known := f.known()
 	traffic := f.traffic
 	if f.follower != nil {
-		known = f.follower.View()
 		traffic = f.totalTraffic(f.follower)
 	}
 	c := &view.Config{
@@ -41,3 +41,21 @@
 	}
 	return c
 }
+
+// known returns what this process knows from the control servers, as of the state in force. The follower records a state
+// only after the node has put it in force, and records none that the peer process reports: what it knew before may contain
+// a refusal that the state in force has ended, and an older newest version. The caller holds the lock.
+func (f *configFollower) known() configfeed.FollowerView {
+	known := f.lastView
+	if f.follower != nil {
+		known = f.follower.View()
+	}
+	inForce := f.state.Version
+	if known.Refused != nil && known.Refused.Version.Compare(inForce) <= 0 {
+		known.Refused = nil
+	}
+	if known.Newest.Compare(inForce) < 0 {
+		known.Newest = inForce
+	}
+	return known
+}
