Configuration page shows ignored keys with their revision, also after an upgrade

What callers saw: operators read at /-/config that all keys of a revision have effect although some have none: always at the successor of an upgrade and at a process that received the revision from its peer process, and at any node for a moment after a new revision.

Cause: the ignored keys were recorded by the caller that had asked for the revision, after the revision itself; a revision that came from the peer process or with the handover has no such caller.

Change: the core says that a revision is in force together with its ignored keys (RevisionInForce), whichever way it came, and the follower records both in one step; the keys of an inherited revision are recorded at the start. postUpdate no longer records a revision beside sending it, and Install no longer returns the keys.

--- a/cmd/gorseledge/live_settings_upgrade_test.go
+++ b/cmd/gorseledge/live_settings_upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -67,6 +68,33 @@
 	}
 }
 
+// A revision may have keys without effect at a node. A configuration page that shows the revision without them, for a moment
+// after it was put in force or at the successor of an upgrade, tells the operator that all of its keys have effect.
+func TestIgnoredKeysAreShownWithTheirRevision(t *testing.T) {
+	c := startControlServer(t)
+	n := startFollower(t, c.address, shortTempDir(t))
+	v := c.apply("[tenants.nobody]\nconnections = 1\n")
+	want := []string{"tenants.nobody"}
+	if page := n.waitForRevision(v); !slices.Equal(page.Ignored, want) {
+		t.Errorf("once the revision is shown, ignored keys %q, want %q", page.Ignored, want)
+	}
+	predecessorAdmin := n.adminAddress
+	old := n.startSuccessor()
+	n.waitUntilReady()
+	if page := n.waitForRevision(v); !slices.Equal(page.Ignored, want) {
+		t.Errorf("at the successor, ignored keys %q, want %q", page.Ignored, want)
+	}
+	v = c.apply("[tenants.other]\nconnections = 1\n")
+	want = []string{"tenants.other"}
+	for _, admin := range []string{n.adminAddress, predecessorAdmin} {
+		n.adminAddress = admin
+		if page := n.waitForRevision(v); !slices.Equal(page.Ignored, want) {
+			t.Errorf("at admin address %s (predecessor: %s), ignored keys %q, want %q", admin, predecessorAdmin, page.Ignored, want)
+		}
+	}
+	n.shutDown(old)
+}
+
 // streamEach has new clients connect one after the other and passes each answer to the function each, until stop is called.
 func (n *testNode) streamEach(each func(answer string)) (stop func()) {
 	stopped, ended := make(chan struct{}), make(chan struct{})
--- a/internal/fleet/config_follower.go
+++ b/internal/fleet/config_follower.go
@@ -46,7 +46,7 @@
 		wake:            newWakeSignal(),
 		predecessorDone: !o.Successor,
 	}
-	f.setInForce(o.InForce)
+	f.setInForce(o.InForce, o.Ignored)
 	return f
 }
 
@@ -154,19 +154,16 @@
 	f.mu.Lock()
 	f.installing = state.Version
 	f.mu.Unlock()
-	ignored, err := f.options.Install(ctx, revision)
+	err = f.options.Install(ctx, revision)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.installing = configfeed.Version{}
-	if err == nil && f.state.Version == state.Version {
-		f.ignored = ignored
-	}
 	return err
 }
 
 // inForce records that the node has put a revision in force, either through install or because its peer process reported
-// it.
-func (f *configFollower) inForce(r live.Revision) {
+// it, and which of its keys have no effect.
+func (f *configFollower) inForce(r live.Revision, ignored []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	version := configfeed.Version{Epoch: r.Epoch, Revision: r.Number}
@@ -174,17 +171,18 @@
 		f.options.Log.Info().Uint64("epoch", r.Epoch).Uint64("revision", r.Number).Bool("in_force", true).
 			Msg("revision received from the peer process")
 	}
-	f.setInForce(r)
+	f.setInForce(r, ignored)
 }
 
-// setInForce records the revision in force. It ignores a revision without a valid state, so that a follower that starts
-// later continues from the previous revision, or from none. The caller holds the lock, or is the only one with access to f.
-func (f *configFollower) setInForce(r live.Revision) {
+// setInForce records the revision in force with its keys without effect, which a view shows together. It ignores a revision
+// without a valid state, so that a follower that starts later continues from the previous revision, or from none. The caller
+// holds the lock, or is the only one with access to f.
+func (f *configFollower) setInForce(r live.Revision, ignored []string) {
 	state, ok := stateOf(r)
 	if !ok {
 		return
 	}
 	f.state = state
 	f.inForceSince = f.now()
-	f.ignored = nil
+	f.ignored = ignored
 }
--- a/internal/fleet/config_follower_test.go
+++ b/internal/fleet/config_follower_test.go
@@ -70,7 +70,7 @@
 	if v := f.view(); v.Epoch != 1 || v.Revision != 3 || v.Since != 1000 || v.Follows {
 		t.Errorf("at the start %+v", v)
 	}
-	f.inForce(testRevision(t, 4))
+	f.inForce(testRevision(t, 4), nil)
 	if v := f.view(); v.Revision != 4 {
 		t.Errorf("after a newer revision %+v", v)
 	}
@@ -101,7 +101,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newTestFollower(t, view.Options{InForce: testRevision(t, 2)})
 			f.lastView = c.known
-			f.inForce(testRevision(t, c.inForce))
+			f.inForce(testRevision(t, c.inForce), nil)
 			v := f.view()
 			refused := uint64(0)
 			if v.Refused != nil {
@@ -135,7 +135,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newTestFollower(t, view.Options{InForce: testRevision(t, 3)})
-			f.inForce(c.revision)
+			f.inForce(c.revision, nil)
 			if v := f.view(); v.Revision != 3 {
 				t.Errorf("revision %d, want 3", v.Revision)
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -115,13 +115,13 @@
 	f.core.SetReady(f.now(), ready)
 }
 
-// SetInForce records that a revision of the live settings is in force at the node. It does nothing if the node follows no
-// control servers.
-func (f *Fleet) SetInForce(r live.Revision) {
+// SetInForce records that a revision of the live settings is in force at the node, and which of its keys have no effect
+// there. It does nothing if the node follows no control servers.
+func (f *Fleet) SetInForce(r live.Revision, ignored []string) {
 	if f.follower == nil {
 		return
 	}
-	f.follower.inForce(r)
+	f.follower.inForce(r, ignored)
 	f.setConfiguredNodes(r)
 }
 
--- a/internal/fleet/view/options.go
+++ b/internal/fleet/view/options.go
@@ -23,11 +23,13 @@
 	// GossipReceived is called with the loads in load gossip of other members.
 	GossipReceived func(loads []peers.HostLoad)
 
-	// Install puts a revision of the live settings in force and returns after it is in force or has failed. It returns
-	// the keys that have no effect at this node. If Install is nil, the node does not follow control servers.
-	Install func(ctx context.Context, r live.Revision) (ignored []string, err error)
+	// Install puts a revision of the live settings in force and returns after it is in force or has failed. Before it returns
+	// without an error, Membership.SetInForce is called. If Install is nil, the node does not follow control servers.
+	Install func(ctx context.Context, r live.Revision) error
 	// InForce is the revision in force when the Membership is created; the zero Revision for none.
 	InForce live.Revision
+	// Ignored lists the keys of InForce that have no effect at this node.
+	Ignored []string
 	// Successor is true if another process of the node follows the control servers until Membership.Follow is called.
 	Successor bool
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -25,8 +25,9 @@
 	SendGossip(loads []peers.HostLoad)
 	// Follow allows this process to follow the control servers. It is called when its predecessor no longer does.
 	Follow()
-	// SetInForce records that a revision of the live settings is in force at the node.
-	SetInForce(r live.Revision)
+	// SetInForce records that a revision of the live settings is in force at the node, and which of its keys have no effect
+	// there.
+	SetInForce(r live.Revision, ignored []string)
 	// View returns the node's current view of its fleet.
 	View() View
 }
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -1,6 +1,9 @@
 package node
 
-import "gorseledge/internal/peers"
+import (
+	"gorseledge/internal/node/live"
+	"gorseledge/internal/peers"
+)
 
 // Effect is an action that the node asks its owner to carry out.
 type Effect interface{ effect() }
@@ -77,6 +80,12 @@
 		Statistics    Statistics     // for GetStatistics
 		Handover      *HandoverState // for ClaimHandover and TakeOver
 	}
+	// RevisionInForce says that a revision of the live settings is in force from now on, whether it came with SettingsReceived
+	// or from the other process of an upgrade. Ignored lists its keys that have no effect on this node, sorted.
+	RevisionInForce struct {
+		Revision live.Revision
+		Ignored  []string
+	}
 	// SettingsApplied answers SettingsReceived. Either the whole revision is in force, or Err is the reason why none of it
 	// is. Ignored lists the keys of the revision that have no effect on this node, sorted.
 	SettingsApplied struct {
@@ -106,6 +115,7 @@
 func (Watch) effect()              {}
 func (StopWatch) effect()          {}
 func (SetTimer) effect()           {}
+func (RevisionInForce) effect()    {}
 func (WriteLog) effect()           {}
 func (LogConnection) effect()      {}
 func (Exit) effect()               {}
--- a/internal/node/live_settings.go
+++ b/internal/node/live_settings.go
@@ -41,6 +41,9 @@
 // Revision returns the revision of the live settings that is in force, or the zero Revision if there is none.
 func (n *Node) Revision() live.Revision { return n.live.revision }
 
+// IgnoredKeys returns the keys of the revision in force that have no effect on this node, sorted.
+func (n *Node) IgnoredKeys() []string { return n.ignoredKeys(n.live.revision.Settings) }
+
 // applyRevision puts a revision in force and emits the result.
 func (n *Node) applyRevision(revision live.Revision) {
 	ignored, err := n.enforceRevision(revision)
@@ -70,6 +73,7 @@
 	n.applyWeights(next.Hosts, previous.Settings.Hosts)
 	n.applyHostOverrides()
 	n.applyDiscovery(next.Discovery, previous.Settings.Discovery)
+	n.emit(RevisionInForce{Revision: revision, Ignored: ignored})
 	n.emit(UpdatePeerProcess{HandoverUpdate{Revision: &revision}})
 	return ignored, nil
 }
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -178,9 +178,9 @@
 	}
 	log := zerolog.New(io.Discard).With().Timestamp().Str("node", n.Name).Logger()
 	node := fleet.New(file, view.Options{Name: n.Name, Build: n.Build, Seed: n.Seed, ConfiguredNodes: n.ConfiguredNodes, Log: log,
-		NodesChanged: func(int) {}, Install: func(_ context.Context, revision live.Revision) ([]string, error) {
+		NodesChanged: func(int) {}, Install: func(_ context.Context, revision live.Revision) error {
 			p.install(n.Name, revision)
-			return nil, nil
+			return nil
 		}})
 	node.Observe(func(c membership.Changed) { p.watch.observe(n.Name, c.Name, c.State) })
 	node.Filter(func(at netip.AddrPort) bool {
@@ -209,7 +209,7 @@
 	if h == nil { // the node has ended
 		return
 	}
-	h.node.SetInForce(r)
+	h.node.SetInForce(r, nil)
 	p.inForce.recordInstalled(name, configfeed.Version{Epoch: r.Epoch, Revision: r.Number}, time.Now())
 }
 
--- a/internal/sockets/effects.go
+++ b/internal/sockets/effects.go
@@ -38,6 +38,10 @@
 		s.settingsReply <- e
 	case node.SendGossip:
 		s.postGossip(e.Loads)
+	case node.RevisionInForce:
+		if s.fleet != nil {
+			s.fleet.SetInForce(e.Revision, e.Ignored)
+		}
 	case node.UpdatePeerProcess:
 		s.postUpdate(&e.Update)
 	case node.SendConnection:
--- a/internal/sockets/fleet.go
+++ b/internal/sockets/fleet.go
@@ -91,6 +91,7 @@
 		GossipReceived:  s.gossipReceived,
 		Install:         s.install,
 		InForce:         s.core.Revision(),
+		Ignored:         s.core.IgnoredKeys(),
 		Successor:       s.upgrade.predecessor != nil && s.upgrade.inheritsRevision(),
 	})
 	s.group.Go(func() error { return s.fleet.Run(ctx) })
--- a/internal/sockets/reload.go
+++ b/internal/sockets/reload.go
@@ -52,9 +52,9 @@
 	return node.DiscoveryMoved{}
 }
 
-// install has the core put a revision of the live settings in force and waits for the result. It returns the keys that
-// have no effect on this node. The error is the core's reason for refusing the revision, or the context's error.
-func (s *server) install(ctx context.Context, revision live.Revision) (ignored []string, err error) {
+// install has the core put a revision of the live settings in force and waits for the result. The error is the core's
+// reason for refusing the revision, or the context's error.
+func (s *server) install(ctx context.Context, revision live.Revision) error {
 	reply := make(chan node.SettingsApplied, 1)
 	step := func() node.Input {
 		s.settingsReply = reply
@@ -63,12 +63,12 @@
 	select {
 	case s.events <- event{step: step}:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 	select {
 	case applied := <-reply:
-		return applied.Ignored, applied.Err
+		return applied.Err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
--- a/internal/sockets/upgrade.go
+++ b/internal/sockets/upgrade.go
@@ -152,12 +152,8 @@
 	s.upgrade.successor.post(m)
 }
 
-// postUpdate sends an update of the core's state to the predecessor and the successor, if there are any. If the update has
-// a revision of the live settings, postUpdate also records at the fleet that the revision is in force.
+// postUpdate sends an update of the core's state to the predecessor and the successor, if there are any.
 func (s *server) postUpdate(update *node.HandoverUpdate) {
-	if update.Revision != nil && s.fleet != nil {
-		s.fleet.SetInForce(*update.Revision)
-	}
 	m := outgoingMessage{Message: handover.Message{Update: update}}
 	s.upgrade.predecessor.post(m) // post does nothing for nil
 	s.upgrade.successor.post(m)
