placement: tests for one passed check, the falling limit and the named server

Noted as gaps earlier: nothing failed if one passed health check in place of two ended an ejection, if the concurrency limit did not fall after the first common failure, or if Arrival.MidFlowServer was ignored. The code is right in all three; each now has a test.

--- a/placement/concurrency_test.go
+++ b/placement/concurrency_test.go
@@ -87,3 +87,45 @@
 		t.Fatalf("concurrency limit %g after the failures have ended, want none", b.concurrency.limit)
 	}
 }
+
+// A limit that stays where the first common failure set it would let attempts go on at the rate under which the shared store
+// fails. Each common failure lowers it by limitDecrease, those of attempts that fail together only once, and never below one
+// attempt. A flow beyond the limit gets no attempt.
+func TestEachCommonFailureLowersConcurrencyLimit(t *testing.T) {
+	b := newTestBalancer(9, nil)
+	b.establish(0, 30)
+	for id := 100; id < 140; id++ {
+		b.arrive(id, Arrival{ClientKey: uint64(id)})
+	}
+	inFlight := b.attemptsInFlight
+	limits := []float64{}
+	for id := 100; id < 140; id++ {
+		before := b.concurrency.limit
+		b.AttemptEnded(b.now, id, 0, Failed, true)
+		if b.concurrency.limit != before {
+			limits = append(limits, b.concurrency.limit)
+			b.AttemptEnded(b.now, id+1, 0, Failed, true) // fails together with the one before
+			id++
+			if b.concurrency.limit != limits[len(limits)-1] {
+				t.Fatal("two attempts that failed together lowered the limit twice")
+			}
+		}
+		b.now += 1.01 * limitDecreasePause
+	}
+	if len(limits) < 5 || limits[0] > limitDecrease*float64(inFlight+1) {
+		t.Fatalf("limits %.3g after %d attempts, want at least 5, the first at most %.3g", limits, inFlight, limitDecrease*float64(inFlight+1))
+	}
+	for i, limit := range limits[1:] {
+		if want := max(1, limitDecrease*limits[i]); limit > want*1.0001 {
+			t.Errorf("limit %.3g after %.3g, want at most %.3g", limit, limits[i], want)
+		}
+	}
+	for id := 200; b.attemptsInFlight < int(b.concurrency.limit); id++ {
+		if decision, _ := b.arrive(id, Arrival{ClientKey: uint64(id)}); decision.Action != Connect {
+			t.Fatalf("%d attempts in flight, limit %.3g: %+v, want an attempt", b.attemptsInFlight, b.concurrency.limit, decision)
+		}
+	}
+	if decision, _ := b.arrive(300, Arrival{ClientKey: 300}); decision.Action == Connect {
+		t.Errorf("an attempt beyond the limit %.3g, with %d in flight", b.concurrency.limit, b.attemptsInFlight)
+	}
+}
--- a/placement/ejection_test.go
+++ b/placement/ejection_test.go
@@ -99,3 +99,30 @@
 		t.Fatalf("ejected: %v, concurrency limit %g", b.serverAt(place).outlier.ejected, b.concurrency.limit)
 	}
 }
+
+// A single passed health check may be chance. An ejected server returns only after two that follow one another: a failed check
+// between them starts the count again.
+func TestOnePassedCheckDoesNotEndEjection(t *testing.T) {
+	const place, servers = 4, 9
+	b := newTestBalancer(servers, nil)
+	b.establish(0, 20)
+	for id := 100; id < 106 && !b.serverAt(place).outlier.ejected; id++ {
+		if b.connectsTo(place, id, Arrival{ClientKey: clientKeyFor(place, servers)}) {
+			b.AttemptEnded(b.now, id, 0, ConnectFailed, false)
+			b.decisions()
+		}
+	}
+	for i, check := range []struct {
+		outcome Outcome
+		ejected bool // after the check
+	}{{Served, true}, {ConnectFailed, true}, {Served, true}, {Served, false}} {
+		b.HealthChecked(b.now, b.serverIndex(place), check.outcome, loadOnly(-1))
+		if got := b.serverAt(place).outlier.ejected; got != check.ejected {
+			t.Fatalf("after check %d: ejected %v, want %v", i, got, check.ejected)
+		}
+		used := b.connectsTo(place, 200+i, Arrival{ClientKey: clientKeyFor(place, servers)})
+		if used == check.ejected {
+			t.Fatalf("after check %d: a flow was sent to the server: %v, want %v", i, used, !check.ejected)
+		}
+	}
+}
--- a/placement/primary_test.go
+++ b/placement/primary_test.go
@@ -222,3 +222,36 @@
 		}
 	}
 }
+
+// After an upgrade a mid-flow connection is looked for at the server that the predecessor named. At any other server it would
+// be reset: neither the client's primary nor a home of its group may come first while that server can be used.
+func TestMidFlowConnectionGoesToNamedServer(t *testing.T) {
+	const primary, named, servers = 2, 6, 9
+	for _, c := range []struct {
+		name    string
+		arrival Arrival
+		state   EndpointState // of the named server
+		want    int           // none for any but the named one
+	}{
+		{"named", Arrival{MidFlow: true, MidFlowServer: 1}, Ready, named},
+		{"named, with a group", Arrival{MidFlow: true, MidFlowServer: 1, GroupKey: 77}, Ready, named},
+		{"not named", Arrival{MidFlow: true}, Ready, primary},
+		{"named, but not mid-flow", Arrival{MidFlowServer: 1}, Ready, primary},
+		{"named, but no longer listed", Arrival{MidFlow: true, MidFlowServer: 1}, Removed, none},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(servers, nil)
+			if c.state != Ready {
+				b.changeState(named, c.state)
+			}
+			c.arrival.ClientKey = clientKeyFor(primary, servers)
+			if c.arrival.MidFlowServer > 0 {
+				c.arrival.MidFlowServer = 1 + b.serverIndex(named)
+			}
+			decision, at := b.arrive(0, c.arrival)
+			if decision.Action != Connect || at != c.want && (c.want != none || at == named) {
+				t.Errorf("decision %+v at place %d, want an attempt at place %d", decision, at, c.want)
+			}
+		})
+	}
+}
