A quota without any listed server counts as none, not as infinite or no number

Until a list had a server, the quota of a server was infinite, and with a quota of 0 not a number (noted from reading; shown by the new test on the code before: +Inf and NaN). Both were computed from the length 0 of the longest list, and the overload state multiplies its loads by it.

What holds now: 0 until a list has had a server, as without quotas, then the quotas' part; a quota of 0 gives a tenant no connection inside its quota and counts as 0 in the sum.

--- a/placement/settings.go
+++ b/placement/settings.go
@@ -115,9 +115,7 @@
 	if len(live.Quotas) == len(b.Quotas) {
 		b.Quotas = slices.Clone(live.Quotas)
 	}
-	if b.longestListLength > 0 {
-		b.updateQuotaPerServer()
-	}
+	b.updateQuotaPerServer()
 }
 
 func (b *Balancer) applyObjectives(objectives []Objectives) {
@@ -148,9 +146,12 @@
 }
 
 // updateQuotaPerServer divides the quotas by the length of the longest list so far, because a shorter list does not
-// increase the capacity of the servers on it.
+// increase the capacity of the servers on it. Until a list has had a server, it allows no connections, as without quotas.
 func (b *Balancer) updateQuotaPerServer() {
 	b.quotaPerServer = 0
+	if b.longestListLength == 0 {
+		return
+	}
 	for _, quota := range b.Quotas {
 		b.quotaPerServer += quota / b.longestListLength / float64(b.Nodes)
 	}
--- a/placement/settings_test.go
+++ b/placement/settings_test.go
@@ -192,3 +192,38 @@
 	}
 	return groups
 }
+
+// Until a list has had a server, a quota divided by its length is infinite, and one of 0 is not a number, which would stay in
+// every load that is computed from it. Both count as no quota until then, and as their part of a server afterwards.
+func TestQuotaIsFiniteWithoutServers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		quotas []float64
+		want   float64 // connections for each of four servers and two nodes
+	}{
+		{"quota", []float64{40}, 5},
+		{"quota of 0", []float64{0}, 0},
+		{"quota and quota of 0", []float64{0, 40}, 5},
+		{"no quotas", nil, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(0, func(s *Settings) { s.Quotas = c.quotas })
+			b.SetNodes(4)
+			b.SetNodes(2)
+			b.ApplySettings(b.Settings.Live())
+			b.advance(1)
+			if b.quotaPerServer != 0 || math.IsNaN(b.overload.level) {
+				t.Fatalf("without servers: quota %g for a server, overload level %g; want 0 and a number", b.quotaPerServer, b.overload.level)
+			}
+			b.UpdateEndpoints(b.now, ListFull, b.readyEndpoints(4))
+			b.advance(1)
+			if b.quotaPerServer != c.want || math.IsNaN(b.overload.level) {
+				t.Errorf("with four servers: quota %g for a server, overload level %g; want %g and a number", b.quotaPerServer,
+					b.overload.level, c.want)
+			}
+			if decision, _ := b.arrive(0, Arrival{ClientKey: 1}); decision.Action != Connect {
+				t.Errorf("a first flow: %+v, want an attempt", decision)
+			}
+		})
+	}
+}
