Log line member names who suspects the member

The field by was always empty: the change to suspect was reported before the reporter was recorded. It now names the member whose report began the suspicion, or this node itself; other changes name none. The name of the field stays.

--- a/internal/membership/effect.go
+++ b/internal/membership/effect.go
@@ -17,8 +17,8 @@
 	Member         // the member after the change
 	New      bool  // whether the member was not known before
 	Previous State // state before the change; Alive for a new member
-	// SuspectedBy is reserved for the name of the member that reported a suspicion. It is always empty: the change is
-	// reported before the reporter is recorded.
+	// SuspectedBy is the name of the member whose report began the suspicion, this node's own if it suspects the member
+	// itself. It is empty for a change to another state.
 	SuspectedBy string
 }
 
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -25,7 +25,11 @@
 	}
 	peer.State = to
 	peer.Since = m.now
-	m.effects = append(m.effects, Changed{Member: peer.Member, Previous: previous})
+	change := Changed{Member: peer.Member, Previous: previous}
+	if peer.suspicion != nil {
+		change.SuspectedBy = peer.suspicion.lastReporter
+	}
+	m.effects = append(m.effects, change)
 }
 
 // addMember adds a member that was not known, as alive, dead or left. If the update reports a suspicion, the caller starts
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -95,6 +95,7 @@
 func (m *Members) startSuspicion(peer *member, reporter string) {
 	m.suspectCount++
 	peer.suspicion = m.newSuspicion()
+	peer.suspicion.lastReporter = reporter
 	m.setState(peer, Suspect)
 	if reporter == m.self.Name {
 		return
