scale: an event whose returns are not seen is a violation

A run waited for the fleet to converge after an event and, at the end of its time, added a violation only if views disagreed. If members were not seen to return, or a real node showed no view, the event passed although the fleet had not converged: a checker that passes wrongly. Now whatever is missing is a violation, and its text says what.

--- a/internal/scale/convergence.go
+++ b/internal/scale/convergence.go
@@ -147,8 +147,53 @@
 			return false, nil
 		}
 	}
-	returned := report.returned.TotalCount() + hdrhistogram.Import(r.reals.watch.report().Returned).TotalCount()
-	return len(views) == r.script.Real && returned >= r.expectedReturns, ctx.Err()
+	return len(views) == r.script.Real && r.outstandingReturns(report) == 0, ctx.Err()
+}
+
+// outstandingReturns returns how many expected returns have not been seen yet, according to a report of the hollow nodes and
+// the views of the real ones.
+func (r *run) outstandingReturns(report hollowReport) int64 {
+	seen := report.returned.TotalCount() + hdrhistogram.Import(r.reals.watch.report().Returned).TotalCount()
+	return max(r.expectedReturns-seen, 0)
+}
+
+// missingConvergence is what keeps a fleet from being converged.
+type missingConvergence struct {
+	disagreements      int    // pairs of a node and a member that the node does not see as live
+	firstDisagreement  string // description of one of them; empty if there is none
+	silentNodes        int    // real nodes that show no view
+	outstandingReturns int64  // pairs of a node and a returned member whose return the node has not seen
+}
+
+// any reports whether anything is missing.
+func (m missingConvergence) any() bool {
+	return m.disagreements > 0 || m.silentNodes > 0 || m.outstandingReturns > 0
+}
+
+// String describes what is missing in one line.
+func (m missingConvergence) String() string {
+	text := fmt.Sprintf("%d disagreements, %d real nodes without a view, %d returns not seen", m.disagreements, m.silentNodes,
+		m.outstandingReturns)
+	if m.firstDisagreement != "" {
+		text += ", first disagreement: " + m.firstDisagreement
+	}
+	return text
+}
+
+// missingForConvergence returns what keeps the fleet from being converged now.
+func (r *run) missingForConvergence(ctx context.Context) (missingConvergence, error) {
+	var m missingConvergence
+	var err error
+	if m.disagreements, m.firstDisagreement, err = r.countDisagreements(ctx); err != nil {
+		return m, err
+	}
+	report, err := r.hollows.report()
+	if err != nil {
+		return m, err
+	}
+	m.silentNodes = r.script.Real - len(r.reals.views(ctx))
+	m.outstandingReturns = r.outstandingReturns(report)
+	return m, ctx.Err()
 }
 
 // countDisagreements counts the pairs of a node and a member that the node does not see as live, and describes the first
--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -107,7 +107,7 @@
 // so that the next event starts with a converged fleet. Restarted nodes may take minutes to learn of a large fleet by state
 // exchange. The window measures that exchange; after it, if the script asks for member lists and the event is not a region
 // cut, the run sends the victims the member list and sends all nodes the victims' records. If the fleet still has not
-// converged after the reconvergence time-out, ensureConvergence adds a violation if the views disagree.
+// converged after the reconvergence time-out, ensureConvergence adds a violation that says what is missing.
 func (r *run) ensureConvergence(ctx context.Context, name string, a Action, victims []NodePlan) error {
 	r.reportProgress("%s: not converged within %g s", name, a.Window)
 	if a.Kind != CutRegion && r.script.SendMembers {
@@ -122,10 +122,9 @@
 	if err != nil || took >= 0 {
 		return err
 	}
-	wrong, first, err := r.countDisagreements(ctx)
-	if err == nil && wrong > 0 {
-		r.addViolation(RuleEventConvergence, "%s, %g s after its window: %d disagreements, first: %s", name,
-			r.script.ReconvergenceTimeout, wrong, first)
+	missing, err := r.missingForConvergence(ctx)
+	if err == nil && missing.any() {
+		r.addViolation(RuleEventConvergence, "%s, %g s after its window: %s", name, r.script.ReconvergenceTimeout, missing)
 	}
 	return err
 }
