emulator: a limit ends with the faults that set it, also if they overlap

A fault on the list's call rate or on the session store's calls restored the value that it had found. Noted from reading, documented as a limit of the emulator.

Now the fault that began last sets the limit, and the normal value is back once all have ended (timedLimit).

--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -34,9 +34,9 @@
 	sim             *simulation
 	index           int64 // index of the last change
 	changes         []listChange
-	idleAt          float64 // time at which all calls so far are answered
-	extraDelay      float64 // seconds that faults add to the script's delay
-	callRate        float64 // calls that it answers a second
+	idleAt          float64    // time at which all calls so far are answered
+	extraDelay      float64    // seconds that faults add to the script's delay
+	callRate        timedLimit // calls that it answers a second
 	down            bool
 	availableSince  float64     // time at which it last became available
 	relocations     int         // how often nodes were redirected to another discovery service
@@ -214,7 +214,7 @@
 		d.fail(w, min(wait, maxCallWait), failureUnavailable)
 		return
 	}
-	d.idleAt += 1 / d.callRate
+	d.idleAt += 1 / d.callRate.value()
 	d.startWatchAfter(wait, w, index)
 }
 
--- a/internal/emulator/fault_inject.go
+++ b/internal/emulator/fault_inject.go
@@ -14,9 +14,8 @@
 // injectors maps each kind of fault to the function that injects it.
 //
 // Overlapping faults of one kind add up if they are delays. The other faults that set a value for a time do not: a later one
-// replaces the value of an earlier one, and the first to end resets the value for both. A limit of the list's call rate or of
-// the session store restores the value that it found: if the earlier of two overlapping faults ends first, its limit stays in
-// force after both have ended.
+// replaces the value of an earlier one, and the first to end resets the value for both, except for the limits of the list's
+// call rate and of the session store: see timedLimit.
 var injectors = map[FaultKind]func(*simulation, Fault){
 	faultGrow:                injectGrow,
 	faultShrink:              injectRemovals,
@@ -94,9 +93,7 @@
 }
 
 func injectListCallRateLimit(s *simulation, f Fault) {
-	previous := s.discovery.callRate
-	s.discovery.callRate = max(f.Amount, minListCallRate)
-	s.After(f.Duration, func() { s.discovery.callRate = previous })
+	s.After(f.Duration, s.discovery.callRate.change(max(f.Amount, minListCallRate)))
 }
 
 func injectConnectDelay(s *simulation, f Fault) {
@@ -159,9 +156,7 @@
 }
 
 func injectStoreSlow(s *simulation, f Fault) {
-	previous := s.store.callLimit
-	s.store.callLimit = max(f.Amount, minStoreCallLimit)
-	s.After(f.Duration, func() { s.store.callLimit = previous })
+	s.After(f.Duration, s.store.callLimit.change(max(f.Amount, minStoreCallLimit)))
 }
 
 // injectNodeRestart asks a node to shut down, kills its process after gracefulShutdownTime and restarts it f.Duration later.
--- a/internal/emulator/session_store.go
+++ b/internal/emulator/session_store.go
@@ -11,10 +11,10 @@
 // clock.
 type sessionStore struct {
 	sim       *simulation
-	callLimit float64 // calls a second; 0 for no limit
-	second    float64 // second of the clock to which calls belongs
-	calls     float64 // calls within that second
-	peak      float64 // highest number of calls within a second
+	callLimit timedLimit // calls a second; 0 for no limit
+	second    float64    // second of the clock to which calls belongs
+	calls     float64    // calls within that second
+	peak      float64    // highest number of calls within a second
 	rejected  int
 }
 
@@ -27,7 +27,7 @@
 	}
 	s.calls++
 	s.peak = max(s.peak, s.calls)
-	if s.callLimit > 0 && s.calls > s.callLimit {
+	if limit := s.callLimit.value(); limit > 0 && s.calls > limit {
 		s.rejected++
 		return storeRefusalTime, false
 	}
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -93,8 +93,12 @@
 		s.Permute = newRandom(seed, "order", 0)
 	}
 	s.checker = &checker{sim: s}
-	s.store = &sessionStore{sim: s, callLimit: script.Fleet.StoreCallLimit}
-	s.discovery = &discovery{sim: s, callRate: script.Fleet.ListCallRate, random: newRandom(seed, "discovery", 0)}
+	s.store = &sessionStore{sim: s, callLimit: timedLimit{normal: script.Fleet.StoreCallLimit}}
+	s.discovery = &discovery{
+		sim:      s,
+		callRate: timedLimit{normal: script.Fleet.ListCallRate},
+		random:   newRandom(seed, "discovery", 0),
+	}
 	s.startFleet()
 	for i, t := range script.Traffic {
 		s.scheduleArrivals(i, t, newRandom(seed, t.Name, i))
