scale: a process's CPU time includes that of its ended threads

CPU time was summed over the living threads of a process, so that a process whose threads end seemed to use less than it does, and could pass the rule on a node's CPU wrongly. It is now read from the process's CPU clock, which counts all threads in nanoseconds, as the sum did.

--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -1,12 +1,12 @@
 package scale
 
 import (
-	"bytes"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
+
+	"golang.org/x/sys/unix"
 )
 
 // usage is the CPU time that a process has used and its current memory.
@@ -15,23 +15,13 @@
 	memory float64 // resident bytes
 }
 
-// usageOf reads a process's usage from /proc. CPU time of threads that have ended is not included.
+// usageOf reads a process's usage. The CPU time is that of all its threads, also of those that have ended.
 func usageOf(pid int) (u usage, err error) {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
-	if err != nil || len(threads) == 0 {
-		return u, fmt.Errorf("process %d is not running, or the kernel has no schedstat", pid)
-	}
-	for _, path := range threads { // schedstat counts nanoseconds; /proc/PID/stat only hundredths of a second
-		text, err := os.ReadFile(path)
-		if err != nil {
-			continue // the thread has ended
-		}
-		nanoseconds, err := strconv.ParseFloat(firstField(text), 64)
-		if err != nil {
-			return u, fmt.Errorf("%s: %w", path, err)
-		}
-		u.cpu += nanoseconds / 1e9
+	var cpu unix.Timespec
+	if err := unix.ClockGettime(cpuClock(pid), &cpu); err != nil {
+		return u, fmt.Errorf("CPU time of process %d: %w", pid, err)
 	}
+	u.cpu = float64(cpu.Nano()) / 1e9
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return u, err
@@ -45,7 +35,8 @@
 	return u, err
 }
 
-func firstField(text []byte) string {
-	field, _, _ := bytes.Cut(bytes.TrimSpace(text), []byte(" "))
-	return string(field)
-}
+// schedulerClock is the kind of a process's CPU clock that counts nanoseconds, as in the kernel's CPUCLOCK_SCHED.
+const schedulerClock = 2
+
+// cpuClock returns the identifier of a process's CPU clock, as clock_getcpuclockid(3) does.
+func cpuClock(pid int) int32 { return int32(^pid)<<3 | schedulerClock }
