scale: the error of a run without a free network names the cause

If no network of loopback addresses could be reserved, the error said that none is free and dropped why the last attempt failed, so that a process without descriptors looked like a machine full of other runs. It now wraps the cause; TestNoFreeNetworkNamesTheCause does not pass on an error without it.

--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -44,7 +44,7 @@
 // newPlan plans a fleet and reserves its network. Nodes are assigned to the zones in turn, the real ones first, so that the
 // real nodes are spread over the zones.
 func newPlan(s *Script, size int, seed uint64) (*Plan, error) {
-	network, reservation, err := reserveNetwork()
+	network, reservation, err := reserveNetwork(func(address string) (net.Listener, error) { return net.Listen("tcp", address) })
 	if err != nil {
 		return nil, err
 	}
@@ -95,16 +95,19 @@
 
 // reserveNetwork reserves a network of loopback addresses that no other run on this machine uses, by listening at the
 // address from which the run sends member lists. The first network to try is random.
-func reserveNetwork() (int, net.Listener, error) {
+func reserveNetwork(listen func(address string) (net.Listener, error)) (int, net.Listener, error) {
 	first := firstNetwork + rand.IntN(lastNetwork-firstNetwork)
+	var last error
 	for i := range lastNetwork - firstNetwork {
 		network := firstNetwork + (first+i)%(lastNetwork-firstNetwork)
-		if listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", network, port)); err == nil {
+		listener, err := listen(fmt.Sprintf("127.%d.255.254:%d", network, port))
+		if err == nil {
 			return network, listener, nil
 		}
+		last = err
 	}
-	return 0, nil, fmt.Errorf("reserving a network of loopback addresses: none is free from 127.%d.0.0/16 to 127.%d.0.0/16",
-		firstNetwork, lastNetwork-1)
+	return 0, nil, fmt.Errorf("reserving a network of loopback addresses: none is free from 127.%d.0.0/16 to 127.%d.0.0/16, the last: %w",
+		firstNetwork, lastNetwork-1, last)
 }
 
 func (p *Plan) close() { p.reservation.Close() }
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -1,6 +1,9 @@
 package scale
 
 import (
+	"errors"
+	"net"
+	"syscall"
 	"testing"
 )
 
@@ -87,3 +90,12 @@
 		t.Errorf("both plans use %s", a.Nodes[0].Address)
 	}
 }
+
+// Guards against an error that says that no network is free but not why: a process without descriptors looks like a machine
+// full of other runs.
+func TestNoFreeNetworkNamesTheCause(t *testing.T) {
+	refused := func(string) (net.Listener, error) { return nil, syscall.EMFILE }
+	if _, _, err := reserveNetwork(refused); !errors.Is(err, syscall.EMFILE) {
+		t.Errorf("error %v, want one that wraps %v", err, syscall.EMFILE)
+	}
+}
