sockets: a refused program leaves nothing to undo, with a test of the refusal

A process whose program the kernel refuses recorded the other listeners all the same, and would at its shutdown have tried to direct connections back. They are recorded only once the program is attached. TestRefusedSteeringStillAccepts has the kernel refuse it (SO_LOCK_FILTER): the process accepts its share, logs the reason once and directs nothing back.

--- a/internal/sockets/listener.go
+++ b/internal/sockets/listener.go
@@ -34,7 +34,6 @@
 	closing     bool // accepting does not begin any more
 
 	steering steering // of new connections, if another process listens on the address
-	steered  bool     // new connections reach this process alone
 }
 
 // stopRequest asks the accepting goroutine to stop accepting. The goroutine calls done, once, when it has handed every
@@ -189,9 +188,12 @@
 	}
 	l := &s.listener
 	l.socket = socket
-	if err := l.steering.steerHere(socket); err != nil {
-		s.log.Warn().Err(err).Msg("new clients not directed to this process alone: the other process accepts a share of them until it closes its listener")
-	} else if l.steered = len(l.steering.others) > 0; l.steered {
+	err := l.steering.steerHere(socket)
+	switch {
+	case err != nil:
+		s.log.Warn().Err(err).Msg("new clients not directed to this process alone: " +
+			"the other process accepts a share of them until it closes its listener")
+	case l.steering.active():
 		s.log.Info().Int("other_listeners", len(l.steering.others)).Msg("new clients directed to this process alone")
 	}
 	return s.openWithoutPredecessor()
--- a/internal/sockets/server.go
+++ b/internal/sockets/server.go
@@ -128,7 +128,7 @@
 	if s.listener.openPending {
 		s.listener.openPending = false
 		s.startAccepting()
-		if !s.apply(node.ListenerOpened{Replaces: s.listener.steered}) {
+		if !s.apply(node.ListenerOpened{Replaces: s.listener.steering.active()}) {
 			return false
 		}
 	}
--- a/internal/sockets/steering.go
+++ b/internal/sockets/steering.go
@@ -25,9 +25,12 @@
 // an index outside the array the kernel distributes connections as by default, so that the process that remains when the
 // other one ends gets all of them.
 type steering struct {
-	others []uint64 // inodes of the sockets that listened on the address before this process's; empty if there was none
+	others []uint64 // inodes of the sockets that listened before the one that connections were directed to; empty for none
 }
 
+// active reports whether connections were directed to this process's socket.
+func (s *steering) active() bool { return len(s.others) > 0 }
+
 // steerHere directs all new connections to a socket that has just begun to listen. It does nothing if no other socket listens
 // on the address.
 func (s *steering) steerHere(socket *net.TCPListener) error {
@@ -35,17 +38,20 @@
 	if err != nil {
 		return err
 	}
-	s.others = others
-	if len(s.others) == 0 {
+	if len(others) == 0 {
 		return nil
 	}
-	return attachIndex(socket, len(s.others))
+	if err := attachIndex(socket, len(others)); err != nil {
+		return err
+	}
+	s.others = others
+	return nil
 }
 
 // steerBack directs all new connections to the last process that listened before this one, provided that the same processes
 // still listen on the address. It reports whether it did.
 func (s *steering) steerBack(socket *net.TCPListener) (bool, error) {
-	if len(s.others) == 0 {
+	if !s.active() {
 		return false, nil
 	}
 	others, err := otherListeners(socket)
--- a/internal/sockets/steering_test.go
+++ b/internal/sockets/steering_test.go
@@ -1,9 +1,14 @@
 package sockets
 
 import (
+	"bytes"
 	"net"
 	"slices"
+	"strings"
 	"testing"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 )
 
 // listenBeside lets other processes share the address of a listener, and listens on it once more.
@@ -139,3 +144,42 @@
 		t.Error("no error for a closed socket")
 	}
 }
+
+// A process that gave up if the kernel refuses to direct connections could not replace the other one at all. It accepts its
+// share of them, logs why it gets no more, and does not delay its readiness.
+func TestRefusedSteeringStillAccepts(t *testing.T) {
+	first := listenLoopback(t)
+	second := listenBeside(t, first)
+	lockFilter(t, second)
+	s := newSteppedServer(t, "127.0.0.1:1")
+	var log bytes.Buffer
+	s.log = zerolog.New(&log)
+	s.listenOn(second)
+	if !s.listener.openPending || s.listener.steering.active() {
+		t.Errorf("accepting is to begin: %v, connections directed: %v; want true and false", s.listener.openPending, s.listener.steering.active())
+	}
+	if !strings.Contains(log.String(), "new clients not directed to this process alone") || !strings.Contains(log.String(), "setsockopt") {
+		t.Errorf("log %q, want a line with the reason", log.String())
+	}
+	if counts := connectAndCount(t, 40, first, second); counts[0]+counts[1] != 40 || counts[0] == 0 {
+		t.Errorf("the listeners got %v clients, want 40 together, not all of them at the second", counts)
+	}
+	s.beginShutdown()
+	if strings.Contains(log.String(), "directed back") {
+		t.Errorf("log %q, want nothing about connections that were not directed", log.String())
+	}
+}
+
+// lockFilter has the kernel refuse every program for a socket.
+func lockFilter(t *testing.T, socket *net.TCPListener) {
+	t.Helper()
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lockErr error
+	err = raw.Control(func(fd uintptr) { lockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_LOCK_FILTER, 1) })
+	if err != nil || lockErr != nil {
+		t.Fatal(err, lockErr)
+	}
+}
