Upgrade tests log the longest time without a served client

The log of TestUpgradeLosesNoClient and TestUpgradeWithoutHandover says the longest time between two clients that were served one after the other, for the measurement of upgrades under load. No assertion changed.

--- a/cmd/gorseledge/upgrade_test.go
+++ b/cmd/gorseledge/upgrade_test.go
@@ -27,10 +27,13 @@
 // counts the answers.
 type clientStream struct {
 	sync.WaitGroup
-	stopped  atomic.Bool
-	served   atomic.Int64
-	mu       sync.Mutex
-	failures []string // answers other than "UP 1", and errors of connections without an answer
+	stopped atomic.Bool
+	served  atomic.Int64
+
+	mu           sync.Mutex
+	failures     []string      // answers other than "UP 1", and errors of connections without an answer
+	lastServedAt time.Time     // zero until a client was served
+	longestGap   time.Duration // between two clients that were served one after the other
 }
 
 // startStream starts a stream of clients.
@@ -47,13 +50,18 @@
 }
 
 func (r *clientStream) count(answer string) {
-	if answer == "UP 1" {
-		r.served.Add(1)
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.failures = append(r.failures, answer)
+	if answer != "UP 1" {
+		r.failures = append(r.failures, answer)
+		return
+	}
+	now := time.Now()
+	if !r.lastServedAt.IsZero() {
+		r.longestGap = max(r.longestGap, now.Sub(r.lastServedAt))
+	}
+	r.lastServedAt = now
+	r.served.Add(1)
 }
 
 // stop ends the stream. It returns how many clients were served, and the answers or errors of the others.
@@ -112,7 +120,7 @@
 	if len(lost) > 0 {
 		t.Errorf("%d served, %d lost: %.3q", served, len(lost), lost)
 	}
-	t.Logf("%d served over two upgrades", served)
+	t.Logf("%d served over two upgrades, longest gap %v", served, stream.longestGap)
 }
 
 // Without a handover two processes share the clients' address, and clients in the backlog are lost when the old process
@@ -146,7 +154,7 @@
 			if total := int(served) + len(failures); lost > max(2, total/500) {
 				t.Errorf("%d served, %d lost: %.3q", served, lost, failures)
 			}
-			t.Logf("%d served, %d rejected, %d lost", served, len(failures)-lost, lost)
+			t.Logf("%d served, %d rejected, %d lost, longest gap %v", served, len(failures)-lost, lost, stream.longestGap)
 		})
 	}
 }
