Upgrade tests give each process a config file of its own

TestFaultsDuringUpgrade (third process starts during the upgrade) failed once in 12 runs, six test processes side by side, load 16: a process exited with error 1. Its log: admin_addr 127.0.0.1:20837 already in use, by the other of the two processes that the test had started with different addresses one right after the other. Both read the one config file of the node, the first of them only after the second's address was written into it. Otherwise that goes unseen, as a process with a predecessor waits for the address; here the old process exited while this one asked it for its state (end of file), so that it had none.

startSuccessor now writes a file of its own for each process. No assertion changed.

--- a/cmd/gorseledge/upgrade_test.go
+++ b/cmd/gorseledge/upgrade_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,13 +12,15 @@
 	"time"
 )
 
-// startSuccessor starts another process of the node beside the running one, with a new admin address. It sets n.process
-// to the new process and returns the old one.
+// startSuccessor starts another process of the node beside the running one, with a new admin address in a config file of its
+// own: a process that was started just before may not have read its file yet. It sets n.process to the new process and
+// returns the old one.
 func (n *testNode) startSuccessor() (old *exec.Cmd) {
 	n.Helper()
 	old = n.process
 	n.adminAddress = freeAddress(n.T)
 	n.config["admin_addr"] = n.adminAddress
+	n.configPath = filepath.Join(n.TempDir(), "config.json")
 	n.writeConfig()
 	n.startProcess()
 	return old
