--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the review's cases. They use the standard library alone.
+set -eu
+cd "$(dirname "$0")"
+mkdir -p bin
+GOWORK=off go build -o bin/ ./stand
