node: idle clients leave their queue at once, so that a shutdown is as fast after long service

Cause: the queue of idle clients had an entry for each connection accepted since the start. remove only marked the connection, and the queue was shortened only where descriptors ran short. During a shutdown each input walked the whole queue, with a look-up in a map for each entry. The queue also kept 8 bytes a connection.

Why this works: the queue is a heap, and each connection knows its position, so that it is removed in the moment in which it is no longer idle. The client that was accepted first is still closed first. The walk before the exit goes over the idle clients alone, and begins only once it is too late for a new flow.

TestOldestIdleConnectionComesFirst checks the order.

--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -50,6 +50,7 @@
 	connected        bool // accepted, or the dial succeeded
 	closed           bool
 	idle             bool // in the idleQueue: the client has sent no opening line yet, or the node has ended its sending to it
+	idlePosition     int  // in the idleQueue
 	suspected        bool // the host's answer is overdue, and confirmTimeout has begun
 	readinessChecked bool // the client has asked whether the node is ready
 	deadlineVersion  uint64
--- a/internal/node/flow_ids_test.go
+++ b/internal/node/flow_ids_test.go
@@ -41,8 +41,8 @@
 	checkPlaced("same client again", "OPEN 7 a1 c=chat,t=acme,d=2000", 3)
 	harness.receive(harness.completeLastDial(), "BYE\r\n", StreamEnded)
 	harness.checkReleased()
-	if len(harness.node.flows.ids.open) != 0 || harness.node.idle.count != 0 {
-		t.Fatalf("not released: ids %v, %d idle", harness.node.flows.ids.open, harness.node.idle.count)
+	if len(harness.node.flows.ids.open) != 0 || harness.node.idle.len() != 0 {
+		t.Fatalf("not released: ids %v, %d idle", harness.node.flows.ids.open, harness.node.idle.len())
 	}
 }
 
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -1,6 +1,12 @@
 package node
 
-import "gorseledge/internal/line"
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"gorseledge/internal/line"
+)
 
 const (
 	descriptorReserve     = 20                 // descriptors kept for new connections, so that they can be rejected with an answer
@@ -10,11 +16,8 @@
 )
 
 // idleQueue holds the clients' connections that have no request under way: those that have sent no opening line yet,
-// and those that linger after their final answer.
-type idleQueue struct {
-	queue []ConnID // oldest first; may contain connections that are no longer idle
-	count int      // number of connections in queue that are idle
-}
+// and those that linger after their final answer. A connection is in it exactly as long as it is idle and open.
+type idleQueue struct{ heap idleHeap }
 
 // add adds a client's connection unless it is already idle. Other connections are ignored.
 func (q *idleQueue) add(c *connection) {
@@ -22,17 +25,60 @@
 		return
 	}
 	c.idle = true
-	q.count++
-	q.queue = append(q.queue, c.id)
+	heap.Push(&q.heap, c)
 }
 
-// remove marks a connection as no longer idle. Its entry in the queue is removed later.
+// remove removes a connection that is no longer idle.
 func (q *idleQueue) remove(c *connection) {
 	if !c.idle {
 		return
 	}
 	c.idle = false
-	q.count--
+	heap.Remove(&q.heap, c.idlePosition)
+}
+
+// len returns the number of idle connections.
+func (q *idleQueue) len() int { return len(q.heap) }
+
+// oldest returns the idle connection that was accepted first, nil if there is none.
+func (q *idleQueue) oldest() *connection {
+	if len(q.heap) == 0 {
+		return nil
+	}
+	return q.heap[0]
+}
+
+// connections returns the idle connections, in no particular order.
+func (q *idleQueue) connections() []*connection { return slices.Clone(q.heap) }
+
+// idleHeap orders idle connections by when they were accepted, the oldest first, for container/heap.
+type idleHeap []*connection
+
+// Len, Less and Swap implement sort.Interface, which container/heap requires.
+func (h idleHeap) Len() int { return len(h) }
+func (h idleHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].startedAt, h[j].startedAt), cmp.Compare(h[i].id, h[j].id)) < 0
+}
+func (h idleHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].idlePosition = i
+	h[j].idlePosition = j
+}
+
+// Push implements heap.Interface.
+func (h *idleHeap) Push(x any) {
+	c := x.(*connection)
+	c.idlePosition = len(*h)
+	*h = append(*h, c)
+}
+
+// Pop implements heap.Interface.
+func (h *idleHeap) Pop() any {
+	last := len(*h) - 1
+	c := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return c
 }
 
 // admit frees descriptors for a connection that was accepted, or rejects it. Idle connections are closed first: clients
@@ -52,7 +98,7 @@
 // limitIdle closes the oldest idle connections while idle ones hold more than their share of the descriptors.
 func (n *Node) limitIdle() {
 	most := max(n.connections.limit/idleDescriptorDivisor, 1)
-	for n.idle.count > most {
+	for n.idle.len() > most {
 		if !n.closeOldestIdle(firstLineGrace) {
 			return
 		}
@@ -76,19 +122,12 @@
 // closeOldestIdle closes the oldest idle connection if it is older than idleFor seconds and no output waits to be
 // written to it, and reports whether it did.
 func (n *Node) closeOldestIdle(idleFor float64) bool {
-	for len(n.idle.queue) > 0 {
-		c := n.connections.byID[n.idle.queue[0]]
-		isIdle := c != nil && c.idle
-		if isIdle && (n.now-c.startedAt < idleFor || len(c.ownOutput) > 0) {
-			return false
-		}
-		n.idle.queue = n.idle.queue[1:]
-		if isIdle {
-			n.closeIdle(c)
-			return true
-		}
+	c := n.idle.oldest()
+	if c == nil || n.now-c.startedAt < idleFor || len(c.ownOutput) > 0 {
+		return false
 	}
-	return false
+	n.closeIdle(c)
+	return true
 }
 
 // closeIdle closes an idle connection to free its descriptor. Its client is rejected as by rejectIdle, but the node does
--- a/internal/node/idle_test.go
+++ b/internal/node/idle_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // A client may send its opening line just when the node closes its idle connection to free the descriptor. If the node
@@ -139,12 +141,103 @@
 	queue.add(client)
 	queue.add(client)
 	queue.add(&connection{id: 2, role: hostRole})
-	if queue.count != 1 || len(queue.queue) != 1 {
-		t.Errorf("%d idle, %d in the queue, want 1 and 1", queue.count, len(queue.queue))
+	if queue.len() != 1 || len(queue.connections()) != 1 {
+		t.Errorf("%d idle, %d in the queue, want 1 and 1", queue.len(), len(queue.connections()))
 	}
 	queue.remove(client)
 	queue.remove(client)
-	if queue.count != 0 {
-		t.Errorf("%d idle after the only one was removed, want 0", queue.count)
+	if queue.len() != 0 || queue.oldest() != nil {
+		t.Errorf("%d idle after the only one was removed, oldest %v, want 0 and none", queue.len(), queue.oldest())
 	}
 }
+
+// If the queue lost its order when a connection leaves it, the node would close a client that is about to send its opening
+// line in place of one that was accepted long before. The oldest idle connection comes first, whichever others have left
+// or come back.
+func TestOldestIdleConnectionComesFirst(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			var queue idleQueue
+			var all []*connection
+			for step := range 500 {
+				if random.IntN(3) > 0 {
+					c := &connection{id: ConnID(2*step + 1), role: clientRole, startedAt: float64(step / 2)}
+					all = append(all, c)
+					queue.add(c)
+				} else if len(all) > 0 {
+					c := all[random.IntN(len(all))]
+					if c.idle {
+						queue.remove(c)
+					} else {
+						queue.add(c)
+					}
+				}
+				checkOldestIdle(t, &queue, all)
+			}
+		})
+	}
+}
+
+// checkOldestIdle checks the queue's first connection and its length against all connections, which are in the order in
+// which they were accepted.
+func checkOldestIdle(t *testing.T, queue *idleQueue, all []*connection) {
+	t.Helper()
+	var oldest *connection
+	idle := 0
+	for _, c := range all {
+		if c.idle && oldest == nil {
+			oldest = c
+		}
+		if c.idle {
+			idle++
+		}
+	}
+	if queue.oldest() != oldest || queue.len() != idle {
+		t.Fatalf("oldest %+v of %d, want %+v of %d", queue.oldest(), queue.len(), oldest, idle)
+	}
+}
+
+// visits is a number of connections that a node accepts within half an hour.
+const visits = 50_000
+
+// A node that has served many connections would answer its last flows too late if each input of a shutdown cost more, the
+// more connections there were before. An input costs the same after long service as at a new node.
+func TestShutdownIsAsFastAfterLongService(t *testing.T) {
+	const noise = 10 // factor between two measurements of the same work, on a busy machine
+	fresh := costOfShutdownInput(newHarness(t, "proxy", 3, 100))
+	harness := newHarness(t, "proxy", 3, 100)
+	for range visits {
+		harness.visit()
+	}
+	if served := costOfShutdownInput(harness); served > noise*fresh {
+		t.Errorf("an input of the shutdown takes %v after %d connections, and %v without any, want at most %d times as much",
+			served, visits, fresh, noise)
+	}
+}
+
+// visit makes a client connect and leave without a line. It passes the inputs to the node itself, as the harness's records
+// of so many connections would take more time than the node.
+func (harness *testHarness) visit() {
+	harness.now += 0.03
+	harness.lastAccepted += 2
+	client := harness.lastAccepted
+	harness.node.Apply(harness.now, Accepted{client})
+	harness.node.Apply(harness.now, ReadDone{client, 0, StreamEnded})
+	harness.node.Apply(harness.now, Closed{client})
+}
+
+// costOfShutdownInput makes a node shut down while a client is open, and returns the shortest time that one of its inputs
+// took.
+func costOfShutdownInput(harness *testHarness) time.Duration {
+	const inputs = 100
+	harness.accept()
+	harness.apply(Shutdown{})
+	shortest := time.Hour
+	for range inputs {
+		began := time.Now()
+		harness.node.Apply(harness.now, TimerFired{})
+		shortest = min(shortest, time.Since(began))
+	}
+	return shortest
+}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -106,9 +106,11 @@
 
 // rejectIdleClients rejects the clients that have sent no opening line, once it is too late for a new flow.
 func (n *Node) rejectIdleClients() {
-	for _, id := range n.idle.queue {
-		c := n.connections.byID[id]
-		if c != nil && c.idle && c.pendingClose == StreamOpen && n.tooLateForNewFlow() {
+	if !n.tooLateForNewFlow() {
+		return
+	}
+	for _, c := range n.idle.connections() {
+		if c.pendingClose == StreamOpen {
 			n.rejectIdle(c, ShuttingDown)
 		}
 	}
