node: no attempt is reported as never run while its opening line is being written

Cause: Apply handles the result of a dial and the deadlines that are due at one clock reading. Where the dial comes up after the attempt's time, the step emitted the write of the line and then ended the attempt. The result of the write was not there yet, so lineSent was false and the outcome ConnectFailed, which allows a reject, or a host of another group. The write was carried out all the same.

Why this works: a write that was asked for counts as carried out until its result is known (lineMayBeSent), whatever ends the attempt. And deadlines are expired before a line is written to a connection that has just come up: it is closed unused, and the reject is true. Without the second half such flows would be answered ERR, and run.

Same cause elsewhere, covered by the first half: a reset, an end or a timeout while the socket has taken a part of the line (the flow was tried at a second host), and the results of two writes of one step.

Tests: TestNothingIsWrittenAfterTheAttemptsTime and three cases of TestAttemptOutcomeDecidesRetry fail on the code before. The case "no answer, and the line was not accepted" wanted BUSY although the result of the write was not known; the rest of a line that the socket does not take at once is written by a goroutine, so it may be complete by then.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -23,11 +23,15 @@
 	return placement.Failed
 }
 
+// lineMayBeSent reports whether the opening line of f's current attempt may have been written to its last byte. As long as
+// a write is under way, its owner may carry it out in full, even after the node has closed the connection.
+func (f *flow) lineMayBeSent() bool { return f.lineSent || f.host.writePending > 0 }
+
 // interruptedOutcome returns the outcome of an attempt whose connection ended without an answer or timed out. The
-// request may have run only if its opening line was written to the last byte.
-func interruptedOutcome(lineSent, timedOut bool) placement.Outcome {
+// request may have run unless its opening line is known not to be written to the last byte.
+func interruptedOutcome(lineMayBeSent, timedOut bool) placement.Outcome {
 	switch {
-	case !lineSent:
+	case !lineMayBeSent:
 		return placement.ConnectFailed
 	case timedOut:
 		return placement.TimedOut
--- a/internal/node/attempt_test.go
+++ b/internal/node/attempt_test.go
@@ -72,11 +72,27 @@
 			}
 		}
 	}, false, "ERR\r\n"},
-	{"no answer, and the line was not accepted", func(harness *testHarness, host ConnID) {
+	{"no answer, and the line was accepted in part", func(harness *testHarness, host ConnID) {
+		harness.blocked[host] = true
+		harness.completeLastDial()
+		harness.apply(WriteDone{host, 7, true})
+		harness.advance(1.995)
+	}, true, "BUSY "},
+	{"no answer, and the result of the write is not known", func(harness *testHarness, host ConnID) {
 		harness.blocked[host] = true
 		harness.completeLastDial()
 		harness.advance(1.995)
-	}, false, "BUSY "},
+	}, false, "ERR\r\n"},
+	{"connection broken before the result of the write is known", func(harness *testHarness, host ConnID) {
+		harness.blocked[host] = true
+		harness.completeLastDial()
+		harness.receive(host, "", StreamBroken)
+	}, false, "ERR\r\n"},
+	{"connection ended before the result of the write is known", func(harness *testHarness, host ConnID) {
+		harness.blocked[host] = true
+		harness.completeLastDial()
+		harness.receive(host, "", StreamEnded)
+	}, false, "ERR\r\n"},
 }
 
 // A non-idempotent request that is sent to a second host after it ran at the first runs twice. An attempt is retried
@@ -103,6 +119,44 @@
 	}
 }
 
+// A node that was held up during a dial handles the dial's result and the end of the attempt's time in one step. If it
+// wrote the opening line in that step and rejected the flow as one that never ran, the host would run it, and so would the
+// host of the client's retry. Nothing is written for an attempt whose time has passed.
+func TestNothingIsWrittenAfterTheAttemptsTime(t *testing.T) {
+	for _, late := range []float64{0, 0.001, 0.15} { // seconds after the attempt's time
+		t.Run(fmt.Sprintf("%g s late", late), func(t *testing.T) {
+			harness := newHarness(t, "proxy", 4, 100)
+			client := harness.openFlow("a1 c=order,t=acme,d=100")
+			host := harness.flowDials[0]
+			harness.now = harness.node.deadlineOf(host) + late
+			harness.completeLastDial()
+			if harness.written[host] != "" || harness.connectionState[host] != "closed" {
+				t.Errorf("the host was sent %q, its connection is %q; want nothing, and closed", harness.written[host],
+					harness.connectionState[host])
+			}
+			harness.advance(0.1)
+			if got := harness.written[client]; !strings.HasPrefix(got, "BUSY ") || len(harness.flowDials) != 1 {
+				t.Errorf("the client was sent %q after %d dials, want BUSY after one", got, len(harness.flowDials))
+			}
+			harness.receive(client, "", StreamEnded)
+			connections := &harness.node.connections
+			if !connections.onlyHealthChecksLeft() || connections.descriptors != len(connections.byID) {
+				t.Errorf("not released: %d connections, %d descriptors", len(connections.byID), connections.descriptors)
+			}
+		})
+	}
+}
+
+// deadlineOf returns when a connection times out, 0 if it has no deadline.
+func (n *Node) deadlineOf(id ConnID) float64 {
+	for _, d := range n.timers.deadlines {
+		if c := n.deadlineOwner(d); c != nil && c.id == id {
+			return d.time
+		}
+	}
+	return 0
+}
+
 // A host that receives the client's full timeout on a second attempt would work for a client that no longer waits. An
 // opening line is forwarded unchanged except for its timeout, which is that of the attempt.
 func TestOpeningLineIsForwardedWithRemainingTime(t *testing.T) {
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -136,8 +136,11 @@
 func (n *Node) dialDone(c *connection, err error, localFailure bool) {
 	if err == nil {
 		c.connected = true
-		n.flush(c)
-		n.requestRead(c)
+		n.expireDeadlines() // nothing may be written for an attempt whose time has passed during the dial
+		if !c.closed {
+			n.flush(c)
+			n.requestRead(c)
+		}
 		return
 	}
 	n.connections.neverOpened()
--- a/internal/node/connection_end.go
+++ b/internal/node/connection_end.go
@@ -23,7 +23,7 @@
 		n.setDeadline(f.host, hostEndTimeout)
 		n.flush(f.host)
 	case !f.established:
-		n.attemptFailed(f, interruptedOutcome(f.lineSent, false))
+		n.attemptFailed(f, interruptedOutcome(f.lineMayBeSent(), false))
 	default:
 		n.hostEnded(f)
 	}
@@ -75,7 +75,7 @@
 		n.closeConnection(c, false)
 		n.finish(f, StreamBroken, ClientReset, placement.Canceled)
 	case !f.established:
-		n.attemptFailed(f, interruptedOutcome(f.lineSent, false))
+		n.attemptFailed(f, interruptedOutcome(f.lineMayBeSent(), false))
 	default:
 		n.closeConnection(c, false)
 		n.finish(f, StreamBroken, HostReset, placement.ConnectionLost)
--- a/internal/node/deadlines.go
+++ b/internal/node/deadlines.go
@@ -114,7 +114,7 @@
 	f := c.flow
 	switch {
 	case !f.established:
-		n.attemptFailed(f, interruptedOutcome(f.lineSent, true))
+		n.attemptFailed(f, interruptedOutcome(f.lineMayBeSent(), true))
 	case f.finalWord != line.Other || c.pendingClose != StreamOpen:
 		n.hostEnded(f) // the host announced its end, or its client has ended, but the host's own end is overdue
 	case c.writeClosed:
