node: a successor takes over its predecessor's disabled hosts, whatever list it knew at its start

Cause: restoreBalancer replaced the servers in the handed-over state by ones in the order of this process, and restoreSettings, which runs after it, read that slice in the predecessor's order. The node held another host for disabled than the balancer, and setAdministrativelyDisabled does nothing where the node believes that all is as wanted.

Evidence: with the predecessor's own list or none at the start, or with a revision of the live settings, by which the hosts are named, the calls take effect; with a list in another order or with other members they do not. The new test has these as cases, and fails in just the latter on the code before.

Why this works: the state stays as it was handed over; the balancer gets a copy in this process's order.

TestDisabledHostsAreHandedOverByName (four of twelve cases) and, with processes, TestOperatorsCallsTakeEffectAfterUpgrade fail on the code before.

--- a/cmd/gorseledge/harness_test.go
+++ b/cmd/gorseledge/harness_test.go
@@ -77,7 +77,7 @@
 	list := endpoint.List{Index: 1, Complete: true}
 	for i := range hosts {
 		n.hosts = append(n.hosts, listenLoopback(t))
-		list.Hosts = append(list.Hosts, endpoint.Host{Name: fmt.Sprintf("s-%08x", 100+i), Address: n.hosts[i].Addr().String(),
+		list.Hosts = append(list.Hosts, endpoint.Host{Name: hostName(i), Address: n.hosts[i].Addr().String(),
 			Zone: "a", Status: "SERVING", Weight: 1})
 	}
 	n.discovery.Publish(list)
@@ -94,6 +94,9 @@
 	n.waitUntilServing()
 }
 
+// hostName returns the name of a host by its position in testNode.hosts.
+func hostName(position int) string { return fmt.Sprintf("s-%08x", 100+position) }
+
 // newConfig returns the node's config, with the given value of settings.family_info.mode.
 func (n *testNode) newConfig(mode string) map[string]any {
 	config := map[string]any{
--- a/cmd/gorseledge/upgrade_test.go
+++ b/cmd/gorseledge/upgrade_test.go
@@ -4,20 +4,24 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"gorseledge/internal/discovery/endpoint"
 )
 
 // startSuccessor starts another process of the node beside the running one, with a new admin address in a config file of its
-// own: a process that was started just before may not have read its file yet. It sets n.process to the new process and
-// returns the old one.
+// own: a process that was started just before may not have read its file yet. The list that the new process knows at its
+// start is one of its own. It sets n.process to the new process and returns the old one.
 func (n *testNode) startSuccessor() (old *exec.Cmd) {
 	n.Helper()
 	old = n.process
+	n.config["known"] = n.olderList()
 	n.adminAddress = freeAddress(n.T)
 	n.config["admin_addr"] = n.adminAddress
 	n.configPath = filepath.Join(n.TempDir(), "config.json")
@@ -26,6 +30,18 @@
 	return old
 }
 
+// olderList returns an endpoint list as a successor may know it: an older one, in another order than that of the hosts, and
+// with a host that was removed since.
+func (n *testNode) olderList() endpoint.List {
+	removed := endpoint.Host{Name: "s-000000ff", Address: "127.0.0.1:1", Zone: "a", Status: "SERVING", Weight: 1}
+	older := endpoint.List{Complete: true, Hosts: []endpoint.Host{removed}}
+	for i, host := range slices.Backward(n.hosts) {
+		older.Hosts = append(older.Hosts, endpoint.Host{Name: hostName(i), Address: host.Addr().String(), Zone: "a",
+			Status: "SERVING", Weight: 1})
+	}
+	return older
+}
+
 // clientStream runs four goroutines, each of which connects one client after the other until the stream is stopped, and
 // counts the answers.
 type clientStream struct {
@@ -126,6 +142,27 @@
 	t.Logf("%d served over two upgrades, longest gap %v", served, stream.longestGap)
 }
 
+// If a successor took the disabled hosts for others, an operator's calls after an upgrade would be answered yes and have no
+// effect. A host that was disabled at the old process can be enabled at the new one, and another one disabled.
+func TestOperatorsCallsTakeEffectAfterUpgrade(t *testing.T) {
+	n := startWithAdmin(t, "pass", shortTempDir(t), 400)
+	call := func(host int, action string) {
+		t.Helper()
+		if code, body := n.callAdmin("PUT", "/-/hosts/"+hostName(host)+"/"+action); code != 200 {
+			t.Fatalf("%s of host %d was answered %d %s", action, host, code, body)
+		}
+	}
+	call(2, "disable")
+	old := n.startSuccessor()
+	n.waitUntilReady()
+	n.shutDown(old)
+	n.waitForMetric("lb.targets_disabled:1|g\n")
+	call(2, "enable")
+	n.waitForMetric("lb.targets_disabled:0|g\n")
+	call(0, "disable")
+	n.waitForMetric("lb.targets_disabled:1|g\n")
+}
+
 // Without a handover two processes share the clients' address, and clients in the backlog are lost when the old process
 // closes its listener. At most two clients may be lost, as the deployment page states, or two in a thousand on a machine
 // so busy that more clients arrive at that time.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -92,7 +92,7 @@
 		indices[i] = n.endpoints.indexOf(listing.Name)
 	}
 	n.restoreList(state)
-	n.restoreBalancer(state, indices)
+	n.restoreBalancer(state.Balancer, indices)
 	n.restoreSettings(state, indices)
 	n.flows.ids.restoreEnded(state.EndedFlows)
 	n.removeAllInherited()
@@ -119,10 +119,11 @@
 	n.applyList(placement.ListFull, endpoint.List{Index: state.Index, Complete: true, Hosts: state.Hosts})
 }
 
-// restoreBalancer passes the predecessor's state to the balancer, with each server under its index in this process.
-func (n *Node) restoreBalancer(state *HandoverState, indices []int) {
+// restoreBalancer passes the predecessor's state to the balancer, with each server under its index in this process. The
+// predecessor's own order of servers, that of HandoverState.Hosts, stays as it is.
+func (n *Node) restoreBalancer(state placement.HandoverState, indices []int) {
 	servers := n.balancer.HandoverState().Servers
-	for i, server := range state.Balancer.Servers {
+	for i, server := range state.Servers {
 		if i >= len(indices) {
 			break
 		}
@@ -130,8 +131,8 @@
 		servers = append(servers, make([]placement.ServerState, missing)...)
 		servers[indices[i]] = server
 	}
-	state.Balancer.Servers = servers
-	n.balancer.Restore(state.Balancer)
+	state.Servers = servers
+	n.balancer.Restore(state)
 }
 
 // handOverClients leaves new flows to a successor from now on, and begins to transfer the established ones. This process
--- a/internal/node/handover_harness_test.go
+++ b/internal/node/handover_harness_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
+	"gorseledge/internal/discovery/endpoint"
 	"gorseledge/internal/settings"
 )
 
@@ -11,8 +13,32 @@
 // predecessor's.
 const firstSuccessorConn = 1001
 
-// startSuccessor starts a successor of this process, with the state handed over as JSON.
+// startSuccessor starts a successor of this process, with the state handed over as JSON. The list that it knows at its
+// start is one of its own.
 func (harness *testHarness) startSuccessor(mode string) *testHarness {
+	harness.Helper()
+	return harness.startSuccessorThatKnows(mode, harness.olderList())
+}
+
+// olderList returns an endpoint list as a successor may know it: in another order than this process has it, with a host
+// that was removed since, and without the one that was added last.
+func (harness *testHarness) olderList() endpoint.List {
+	older := endpoint.List{Index: harness.node.endpoints.listIndex - 1, Complete: true}
+	for _, host := range harness.node.endpoints.hosts {
+		if host.listing.Status != statusRemoved {
+			older.Hosts = append(older.Hosts, host.listing)
+		}
+	}
+	slices.Reverse(older.Hosts)
+	removed := endpoint.Host{Name: "s-000000ff", Address: "removed", Zone: "a", Status: "SERVING", Weight: 1}
+	if len(older.Hosts) > 0 {
+		older.Hosts[0] = removed
+	}
+	return older
+}
+
+// startSuccessorThatKnows starts a successor that knows a list from its start settings.
+func (harness *testHarness) startSuccessorThatKnows(mode string, known endpoint.List) *testHarness {
 	harness.Helper()
 	balancer, listener, err := settings.Parse(fmt.Appendf(nil, settingsJSON, mode), 8)
 	if err != nil {
@@ -25,6 +51,7 @@
 	successor.node = New(successor.now, Start{
 		Settings:           balancer,
 		Listener:           listener,
+		CachedList:         known,
 		MaxDescriptors:     harness.node.connections.configuredLimit,
 		DescriptorOverhead: 20,
 		HasPredecessor:     true,
--- a/internal/node/settings_handover_test.go
+++ b/internal/node/settings_handover_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
+	"gorseledge/internal/discovery/endpoint"
 	"gorseledge/internal/settings"
 )
 
@@ -86,3 +88,69 @@
 	}
 	checkSettings(t, successor, 0, 1, 1)
 }
+
+// successorsLists are the ways in which the list that a successor knows at its start differs from its predecessor's.
+var successorsLists = []struct {
+	name   string
+	change func(hosts []endpoint.Host) []endpoint.Host
+}{
+	{"same", func(hosts []endpoint.Host) []endpoint.Host { return hosts }},
+	{"none", func([]endpoint.Host) []endpoint.Host { return nil }},
+	{"reversed", func(hosts []endpoint.Host) []endpoint.Host { slices.Reverse(hosts); return hosts }},
+	{"first host missing", func(hosts []endpoint.Host) []endpoint.Host { return hosts[1:] }},
+	{"last hosts only", func(hosts []endpoint.Host) []endpoint.Host { return hosts[2:] }},
+	{"another host first", func(hosts []endpoint.Host) []endpoint.Host {
+		removed := endpoint.Host{Name: "s-000000ff", Address: "removed", Zone: "a", Status: "SERVING", Weight: 1}
+		return slices.Insert(hosts, 0, removed)
+	}},
+}
+
+// If a successor took the predecessor's disabled hosts for others, a host that an operator has disabled would get flows,
+// and one that is enabled again would get none. The disabled hosts are the same ones in the successor, whichever list it
+// knew at its start, and an operator's later calls at it take effect.
+func TestDisabledHostsAreHandedOverByName(t *testing.T) {
+	for _, list := range successorsLists {
+		for _, settingsText := range []string{"", "limits.max_connects = 2"} { // without a revision of the live settings, and with one
+			t.Run(fmt.Sprintf("%s, settings %q", list.name, settingsText), func(t *testing.T) {
+				predecessor := newHarness(t, "pass", 4, 1000)
+				if settingsText != "" {
+					if err := predecessor.applySettings(1, settingsText); err != nil {
+						t.Fatal(err)
+					}
+				}
+				predecessor.query(DisableHost, "s-00000066")
+				known := hostList(4)
+				known.Hosts = list.change(known.Hosts)
+				successor := predecessor.startSuccessorThatKnows("pass", known)
+				predecessor.handOverTo(successor)
+				checkFlowsByHost(t, successor, "h0", "h1", "h3")
+				successor.query(EnableHost, "s-00000066")
+				checkFlowsByHost(t, successor, "h0", "h1", "h2", "h3")
+				successor.query(DisableHost, "s-00000065")
+				checkFlowsByHost(t, successor, "h0", "h2", "h3")
+			})
+		}
+	}
+}
+
+// checkFlowsByHost opens flows and checks that these hosts and no others get some of them.
+func checkFlowsByHost(t *testing.T, harness *testHarness, want ...string) {
+	t.Helper()
+	const flows = 100
+	began := len(harness.flowDials)
+	for key := range flows {
+		client, host := harness.establish(fmt.Sprintf("%x c=chat,t=acme,d=2000", key))
+		harness.receive(host, "BYE\r\n", StreamEnded)
+		harness.receive(client, "", StreamEnded)
+		harness.advance(0.1)
+	}
+	var got []string
+	for _, address := range []string{"h0", "h1", "h2", "h3", "removed"} {
+		if harness.dialsTo(address, began) > 0 {
+			got = append(got, address)
+		}
+	}
+	if !slices.Equal(got, want) {
+		t.Fatalf("flows at %v, want %v", got, want)
+	}
+}
