node: an input of a shutdown costs the same, however many flows are open

Callers would see: at a planned restart of a node that holds its flows until it is killed, lines wait the longer, the more flows are open.

Cause: drainFlows walked all flows at every input of a shutdown.

Why this works: the walk had to find flows that became established, or stayed here after a canceled transfer, and those that wait once it is too late. The former are noted in the moment in which it happens, the latter can only become fewer once new flows are rejected, so that one walk is enough. How many flows are held follows from the statistics' counts.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -93,6 +93,7 @@
 		n.balancer.Established(f.index, f.attempt)
 	}
 	n.scanLines(f.client)
+	n.shutdown.addEstablished(f)
 	if n.upgrade.clientsHandedOver {
 		n.beginTransfer(f)
 	}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -21,6 +21,17 @@
 	closeRequested bool // CloseListener has been emitted
 	listenerClosed bool // no client comes any more: ListenerClosed has been received
 	exitRequested  bool // Exit has been emitted
+
+	flowsListed     bool    // the flows that were established when the shutdown began have been added to toMigrate
+	toMigrate       []*flow // established flows that are still to be migrated
+	waitingAnswered bool    // the flows that waited for too long have been answered
+}
+
+// addEstablished notes that a flow is established, or stays in this process, and is to be migrated during the shutdown.
+func (s *shutdown) addEstablished(f *flow) {
+	if s.started {
+		s.toMigrate = append(s.toMigrate, f)
+	}
 }
 
 // begin starts the shutdown, once. Accepted flows are still answered.
@@ -56,16 +67,17 @@
 	if !n.shutdown.started {
 		return
 	}
-	limit := n.exitTime(n.drainFlows())
+	n.drainFlows()
 	n.rejectIdleClients()
+	limit := n.exitTime(n.hasHeldFlows())
 	n.closeListenerWhenDue(limit)
 	n.exitWhenDone(limit)
 }
 
 // exitTime returns after how many seconds of the shutdown the node exits at the latest. It is never before the clients in
 // the listener's queue can be answered, however short the connect timeouts are.
-func (n *Node) exitTime(inFlight bool) float64 {
-	if inFlight {
+func (n *Node) exitTime(holdsFlows bool) float64 {
+	if holdsFlows {
 		return maxHoldTime
 	}
 	return max(n.drainTime(), listenerGrace+finalAnswerTime)
@@ -85,23 +97,69 @@
 	}
 }
 
-// drainFlows migrates the established flows, including those established since the shutdown began, and reports whether
-// any remain in flight. If packets pass through, connections outlive the node but would be ended by its orderly exit, so
-// they are not migrated but held until the node is killed. Flows that are being transferred to a successor are skipped.
-func (n *Node) drainFlows() (inFlight bool) {
+// drainFlows migrates the flows that are established, and once it is too late for them ends those that still wait. It looks
+// at all flows only once each, as every input of a shutdown leads here.
+func (n *Node) drainFlows() {
+	if !n.shutdown.flowsListed {
+		n.shutdown.flowsListed = true
+		n.shutdown.toMigrate = n.establishedFlows()
+	}
+	n.migrateEstablished()
+	if n.tooLateForNewFlow() && !n.shutdown.waitingAnswered {
+		n.shutdown.waitingAnswered = true
+		n.endWaitingFlows()
+	}
+}
+
+// establishedFlows returns the flows that are established.
+func (n *Node) establishedFlows() (established []*flow) {
 	for _, f := range n.flows.byIndex {
-		switch {
-		case f == nil || f.ended || f.transferring:
-		case f.established && !n.listener.PassThrough:
+		if f != nil && f.established && !f.ended {
+			established = append(established, f)
+		}
+	}
+	return established
+}
+
+// migrateEstablished migrates the flows that have been established. Flows that are being transferred to a successor are
+// skipped. If packets pass through, connections outlive the node but would be ended by its orderly exit, so they are not
+// migrated but held until the node is killed.
+func (n *Node) migrateEstablished() {
+	flows := n.shutdown.toMigrate
+	n.shutdown.toMigrate = nil
+	if n.listener.PassThrough {
+		return
+	}
+	for _, f := range flows {
+		if !f.transferring {
 			n.migrate(f, MigratedAtShutdown, placement.Canceled)
-		case !f.established && n.tooLateForNewFlow():
+		}
+	}
+}
+
+// endWaitingFlows answers the flows that still wait for a host. No other flow begins after that.
+func (n *Node) endWaitingFlows() {
+	for _, f := range n.flows.byIndex {
+		if f != nil && !f.established && !f.ended {
 			n.cancelSetup(f)
 			n.answer(f.client, []byte(line.ErrLine), ShuttingDown)
-		case f.established:
-			inFlight = true
 		}
 	}
-	return inFlight
+}
+
+// hasHeldFlows reports whether flows are held until the node is killed. Flows that are being transferred to a successor do
+// not count.
+func (n *Node) hasHeldFlows() bool {
+	if !n.listener.PassThrough {
+		return false
+	}
+	established := n.statistics.Open - n.statistics.Waiting
+	for _, f := range n.upgrade.transfers {
+		if f.transferring && !f.ended {
+			established--
+		}
+	}
+	return established > 0
 }
 
 // rejectIdleClients rejects the clients that have sent no opening line, once it is too late for a new flow.
--- a/internal/node/transfer.go
+++ b/internal/node/transfer.go
@@ -108,6 +108,7 @@
 // cancelTransfer keeps a flow in this process and resumes reading from its connections.
 func (n *Node) cancelTransfer(f *flow) {
 	f.transferring = false
+	n.shutdown.addEstablished(f)
 	n.requestRead(f.client)
 	n.requestRead(f.host)
 	if !f.ended {
@@ -192,6 +193,7 @@
 	n.scanLines(f.host)
 	n.requestRead(f.client)
 	n.requestRead(f.host)
+	n.shutdown.addEstablished(f)
 	if n.upgrade.clientsHandedOver {
 		n.beginTransfer(f)
 	}
