node: an operator's disable cancels dials to the host, as a listed drain does

Callers would see: a host that an operator takes out, with a yes, gets the line of an attempt that was being dialed, up to the dial timeout later.

Cause: acceptsNewFlows left administrativelyDisabled out, and the call did not look at the dials under way.

Why this works: one rule says whether a host accepts new flows (list, live settings, operator), and each of the three changes cancels the dials that it forbids. Nothing was written for them, so their flows go to another host at once.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -38,9 +38,10 @@
 	disabledBySettings       bool // the live settings disabled the host when applyDisabled last compared them
 }
 
-// acceptsNewFlows reports whether a host is listed as ready and the settings do not disable it.
+// acceptsNewFlows reports whether a host is listed as ready, and neither an operator nor the settings disable it.
 func (h *listedHost) acceptsNewFlows() bool {
-	return endpointStates[h.listing.Status] == placement.Ready && !h.disabledBySettings
+	disabled := h.administrativelyDisabled || h.disabledBySettings
+	return endpointStates[h.listing.Status] == placement.Ready && !disabled
 }
 
 // endpointDirectory holds all hosts that were ever listed, by the balancer's index, and how current the list is. A host
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -152,22 +152,55 @@
 	}
 }
 
+// listsAs returns an input after which the first of two hosts is listed with a status.
+func listsAs(status string) func(*testHarness) {
+	return func(harness *testHarness) {
+		list := hostList(2)
+		list.Hosts[0].Status = status
+		harness.apply(ListReceived{list})
+	}
+}
+
+// operatorAsks returns an input in which an operator asks a question about the first host.
+func operatorAsks(question Question) func(*testHarness) {
+	return func(harness *testHarness) { harness.query(question, "s-00000064") }
+}
+
+// settingsDisable is an input after which the live settings disable the first host.
+func settingsDisable(harness *testHarness) {
+	if err := harness.applySettings(1, "hosts.s-00000064.disabled_until_s = 1000000060"); err != nil {
+		harness.Fatal(err)
+	}
+}
+
+// peerProcessDisables is an input in which the other process of an upgrade disables the first host.
+func peerProcessDisables(harness *testHarness) {
+	harness.apply(PeerProcessChanged{HandoverUpdate{DisabledHost: "s-00000064"}})
+}
+
 // A slow dial could succeed after its host's drain grace, and the opening line would be written to a draining host. If
-// a host stops accepting new flows, an attempt that is still being dialed goes to another host at once, and an attempt
-// whose line is written stays.
+// a host stops accepting new flows, whoever has withdrawn it, an attempt that is still being dialed goes to another host
+// at once, and an attempt whose line is written stays.
 func TestDialToDrainingHostIsCanceled(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		serviceType string
-		status      string
+		withdraw    func(*testHarness)
 		connected   bool
 		stays       bool
 	}{
-		{"draining during the dial", "chat", "DRAINING", false, false},
-		{"removed during the dial", "chat", "DELETED", false, false},
-		{"non-idempotent, draining during the dial", "order", "DRAINING", false, false},
-		{"still serving", "chat", "SERVING", false, true},
-		{"draining after the line was written", "chat", "DRAINING", true, true},
+		{"draining during the dial", "chat", listsAs("DRAINING"), false, false},
+		{"removed during the dial", "chat", listsAs("DELETED"), false, false},
+		{"non-idempotent, draining during the dial", "order", listsAs("DRAINING"), false, false},
+		{"still serving", "chat", listsAs("SERVING"), false, true},
+		{"draining after the line was written", "chat", listsAs("DRAINING"), true, true},
+		{"disabled by an operator during the dial", "chat", operatorAsks(DisableHost), false, false},
+		{"non-idempotent, disabled by an operator during the dial", "order", operatorAsks(DisableHost), false, false},
+		{"disabled by an operator after the line was written", "chat", operatorAsks(DisableHost), true, true},
+		{"enabled by an operator during the dial", "chat", operatorAsks(EnableHost), false, true},
+		{"disabled at the other process during the dial", "chat", peerProcessDisables, false, false},
+		{"disabled by the settings during the dial", "chat", settingsDisable, false, false},
+		{"disabled by the settings after the line was written", "chat", settingsDisable, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			harness := newHarness(t, "proxy", 2, 1000)
@@ -176,9 +209,7 @@
 				harness.completeLastDial()
 			}
 			dials := len(harness.flowDials)
-			list := hostList(2)
-			list.Hosts[0].Status = c.status
-			harness.apply(ListReceived{list})
+			c.withdraw(harness)
 			if c.stays {
 				if len(harness.flowDials) != dials || harness.connectionState[dial] == "closed" {
 					t.Errorf("the attempt was canceled")
--- a/internal/node/query.go
+++ b/internal/node/query.go
@@ -43,6 +43,7 @@
 	n.endpoints.hosts[index].administrativelyDisabled = disabled
 	n.applyDisabled(index)
 	if disabled {
+		n.cancelUnsuitableDials()
 		n.emit(WriteLog{fmt.Sprintf("host %s administratively disabled", name)})
 		n.emit(UpdatePeerProcess{HandoverUpdate{DisabledHost: name}})
 		return true
