node: operators' calls are ordered by a revision at both processes of an upgrade

Callers saw, by a test: disable at one process of an upgrade and enable at the other, within the time of a message, are sent back and forth for ever, and the host's state changes each time. Suspected by the review from reading.

Cause: setAdministrativelyDisabled took an update from the other process for a call of its own and notified that process of it; calls had no order but that of their arrival.

Why this works: a call gets a revision, the machine's time in microseconds and at least one more than the last known one of that host. Each process keeps the decision with the highest revision, so both end with the same one, in any order of arrival. An update goes on to the other neighbour alone (UpdatePeerProcess.To), so there is one message a call and link. The state that is handed over carries the revisions; that replaces the list of calls that were applied again after it. Versions without revisions are read as before: what they send counts as a call at its arrival, unless it changes nothing.

The golden files are unchanged; the new forms have one of their own, and the check that golden messages set every field reads both files.

--- a/internal/emulator/node_process.go
+++ b/internal/emulator/node_process.go
@@ -194,7 +194,7 @@
 	case node.BindHostConnection:
 		n.bindHostConnection(e)
 	case node.UpdatePeerProcess:
-		n.updatePeers(e.Update)
+		n.updatePeers(e)
 	case node.OpenListener:
 		n.takeOver()
 	case node.CloseListener:
--- a/internal/emulator/upgrade.go
+++ b/internal/emulator/upgrade.go
@@ -137,18 +137,26 @@
 }
 
 // updatePeers sends an update to the node's other processes.
-func (n *nodeProcess) updatePeers(update node.HandoverUpdate) {
+func (n *nodeProcess) updatePeers(e node.UpdatePeerProcess) {
+	if e.To != node.Successor {
+		n.updatePeer(n.predecessor, e.Update, node.Successor)
+	}
+	if e.To != node.Predecessor {
+		n.updatePeer(n.successor, e.Update, node.Predecessor)
+	}
+}
+
+// updatePeer sends an update to another process, if it is running. role is what this process is for the other one.
+func (n *nodeProcess) updatePeer(peer *nodeProcess, update node.HandoverUpdate, role node.Peer) {
+	if peer == nil || !peer.running {
+		return
+	}
 	update = jsonRoundTrip(update)
-	for _, peer := range []*nodeProcess{n.predecessor, n.successor} {
-		if peer == nil || !peer.running {
-			continue
+	n.sim.After(processDelay, func() {
+		if peer.running {
+			peer.deliver(node.PeerProcessChanged{Update: update, From: role})
 		}
-		n.sim.After(processDelay, func() {
-			if peer.running {
-				peer.deliver(node.PeerProcessChanged{Update: update})
-			}
-		})
-	}
+	})
 }
 
 // notifyPeersOfExit notifies the node's other processes that this one has ended.
--- a/internal/handover/handover_golden_test.go
+++ b/internal/handover/handover_golden_test.go
@@ -17,7 +17,8 @@
 )
 
 // The files under testdata were written by revision 5fa7498, whose processes exchange these messages during an upgrade.
-// They never change, and no flag rewrites them. A failure here means that an upgrade from that version, or back to it,
+// testdata/host-revisions.jsonl has the forms that were added with the revisions of operators' calls. The files never change,
+// and no flag rewrites them. A failure here means that an upgrade from that version, or back to it,
 // breaks: the code must change, not the file. A renamed field keeps its old name in a json tag.
 
 type goldenMessage struct {
@@ -172,85 +173,16 @@
 	}
 }
 
-// fieldCheck checks that every field of the golden messages has a value.
-type fieldCheck struct {
-	t    *testing.T
-	seen map[string]bool // fields of the types in alternatives that had a value in at least one message
-}
-
-// alternatives are the types of which each message sets only some of the fields.
-var alternatives = []reflect.Type{reflect.TypeFor[Message](), reflect.TypeFor[node.HandoverUpdate]()}
-
-func isAlternative(kind reflect.Type) bool {
-	for _, alternative := range alternatives {
-		if kind == alternative {
-			return true
-		}
-	}
-	return false
-}
-
-// value fails the test if v, or an exported field of any value that v contains, is zero. path names v in the failure.
-func (c *fieldCheck) value(path string, v reflect.Value) {
-	c.t.Helper()
-	if v.IsZero() {
-		c.t.Errorf("%s has no value", path)
-		return
-	}
-	switch v.Kind() {
-	case reflect.Pointer:
-		c.value(path, v.Elem())
-	case reflect.Struct:
-		c.fields(path, v)
-	case reflect.Map:
-		c.filled(path, v)
-		for _, key := range v.MapKeys() {
-			c.value(fmt.Sprintf("%s[%v]", path, key), v.MapIndex(key))
-		}
-	case reflect.Slice:
-		c.filled(path, v)
-		if v.Type().Elem().Kind() == reflect.Uint8 {
-			return // a zero byte counts as a value
-		}
-		for i := range v.Len() {
-			c.value(fmt.Sprintf("%s[%d]", path, i), v.Index(i))
-		}
-	}
-}
-
-func (c *fieldCheck) fields(path string, v reflect.Value) {
-	c.t.Helper()
-	for i := range v.NumField() {
-		field := v.Type().Field(i)
-		if !field.IsExported() {
-			continue // not encoded
-		}
-		if isAlternative(v.Type()) {
-			if v.Field(i).IsZero() {
-				continue
-			}
-			c.seen[fmt.Sprintf("%v.%s", v.Type(), field.Name)] = true
-		}
-		c.value(path+"."+field.Name, v.Field(i))
-	}
-}
-
-func (c *fieldCheck) filled(path string, v reflect.Value) {
-	c.t.Helper()
-	if v.Len() == 0 {
-		c.t.Errorf("%s is empty", path)
-	}
-}
-
-// allSeen fails the test for each field of alternatives that no message sets.
-func (c *fieldCheck) allSeen() {
-	c.t.Helper()
-	for _, kind := range alternatives {
-		for i := range kind.NumField() {
-			if name := fmt.Sprintf("%v.%s", kind, kind.Field(i).Name); !c.seen[name] {
-				c.t.Errorf("no golden message sets %s", name)
-			}
-		}
+// goldenHostRevisions are the messages of testdata/host-revisions.jsonl, in the order of its lines.
+func goldenHostRevisions() []goldenMessage {
+	return []goldenMessage{
+		{"state with revisions of hosts", Message{Version: 1, State: &node.HandoverState{
+			HostRevisions: map[string]int64{"s-5be2a07c": 1700000041500000, "s-77d10e42": 9007199254740993},
+		}}},
+		{"disabled host with its revision", Message{Version: 1,
+			Update: &node.HandoverUpdate{DisabledHost: "s-5be2a07c", HostRevision: 1700000041500000}}},
+		{"enabled host with its revision", Message{Version: 1,
+			Update: &node.HandoverUpdate{EnabledHost: "s-77d10e42", HostRevision: 9007199254740993}}},
 	}
 }
 
@@ -278,8 +210,10 @@
 // A new field that no golden message sets could change its wire form unnoticed. The golden messages set every field.
 func TestGoldenMessagesSetEveryField(t *testing.T) {
 	check := &fieldCheck{t: t, seen: map[string]bool{}}
-	for i, line := range readLines(t, "messages.jsonl") {
-		check.value(fmt.Sprintf("line %d: Message", i+1), reflect.ValueOf(decodeStrictly(t, line)))
+	for _, file := range []string{"messages.jsonl", "host-revisions.jsonl"} {
+		for i, line := range readLines(t, file) {
+			check.value(fmt.Sprintf("%s, line %d: Message", file, i+1), reflect.ValueOf(decodeStrictly(t, line)))
+		}
 	}
 	check.allSeen()
 }
@@ -293,6 +227,7 @@
 	}{
 		{"messages.jsonl", goldenMessages()},
 		{"sparse.jsonl", goldenSparseMessages()},
+		{"host-revisions.jsonl", goldenHostRevisions()},
 	} {
 		lines := readLines(t, file.name)
 		if len(lines) != len(file.messages) {
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -67,7 +67,7 @@
 	case HandoverReceived:
 		n.restore(input.State)
 	case PeerProcessChanged:
-		n.applyPeerUpdate(input.Update)
+		n.applyPeerUpdate(input.Update, input.From)
 	case ConnectionReceived:
 		n.adoptConnection(input.Conn, input.Transfer)
 	case ConnectionSent:
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -96,8 +96,11 @@
 
 // Effects on the other process of an upgrade.
 type (
-	// UpdatePeerProcess notifies the other process of an upgrade, if there is one.
-	UpdatePeerProcess struct{ Update HandoverUpdate }
+	// UpdatePeerProcess notifies another process of an upgrade, if there is one.
+	UpdatePeerProcess struct {
+		Update HandoverUpdate
+		To     Peer
+	}
 	// SendConnection sends the client's and the host's connection of a flow to the successor, answered by ConnectionSent.
 	SendConnection struct {
 		Conn, Host ConnID
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -34,13 +34,13 @@
 	listing   endpoint.Host // the host's last entry in the list
 	lastHeard float64       // when the host last sent anything to this node
 
-	administrativelyDisabled bool // an operator has disabled the host by the admin address
-	disabledBySettings       bool // the live settings disabled the host when applyDisabled last compared them
+	administrative     administrativeState // what operators have decided by the admin address
+	disabledBySettings bool                // the live settings disabled the host when applyDisabled last compared them
 }
 
 // acceptsNewFlows reports whether a host is listed as ready, and neither an operator nor the settings disable it.
 func (h *listedHost) acceptsNewFlows() bool {
-	disabled := h.administrativelyDisabled || h.disabledBySettings
+	disabled := h.administrative.disabled || h.disabledBySettings
 	return endpointStates[h.listing.Status] == placement.Ready && !disabled
 }
 
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -175,7 +175,7 @@
 
 // peerProcessDisables is an input in which the other process of an upgrade disables the first host.
 func peerProcessDisables(harness *testHarness) {
-	harness.apply(PeerProcessChanged{HandoverUpdate{DisabledHost: "s-00000064"}})
+	harness.apply(PeerProcessChanged{Update: HandoverUpdate{DisabledHost: "s-00000064"}, From: Successor})
 }
 
 // A slow dial could succeed after its host's drain grace, and the opening line would be written to a draining host. If
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -27,16 +27,20 @@
 	// the hosts that an operator has disabled. Without a revision it is empty, and Balancer has the disabled hosts.
 	Revision                 *live.Revision `json:"Revision,omitempty"`
 	AdministrativelyDisabled []string       `json:"DisabledByHand,omitempty"`
+
+	// HostRevisions has the revision of the operators' last call on each host on which there was one.
+	HostRevisions map[string]int64 `json:"HostRevisions,omitempty"`
 }
 
 // HandoverUpdate is a change of which one process notifies the other while an upgrade has two of them running. Exactly
-// one field is set. The JSON names are part of the handover protocol between versions.
+// one field is set, besides HostRevision. The JSON names are part of the handover protocol between versions.
 type HandoverUpdate struct {
-	DisabledHost string               `json:"Out,omitempty"`  // a host that an operator disabled
-	EnabledHost  string               `json:"Back,omitempty"` // a host that an operator enabled
-	Established  *InheritedConnection `json:"Sits,omitempty"` // a flow was established
-	EndedFlow    string               `json:"Over,omitempty"` // the id of an established flow that has ended
-	Descriptors  int                  `json:"Held,omitempty"` // descriptors in use
+	DisabledHost string               `json:"Out,omitempty"`          // a host that an operator disabled
+	EnabledHost  string               `json:"Back,omitempty"`         // a host that an operator enabled
+	HostRevision int64                `json:"HostRevision,omitempty"` // of the operator's call; 0 from a version without
+	Established  *InheritedConnection `json:"Sits,omitempty"`         // a flow was established
+	EndedFlow    string               `json:"Over,omitempty"`         // the id of an established flow that has ended
+	Descriptors  int                  `json:"Held,omitempty"`         // descriptors in use
 
 	Revision *live.Revision `json:"Revision,omitempty"` // of the live settings, in force
 }
@@ -50,7 +54,6 @@
 	transfers transferQueue // flows whose connections are being transferred to the successor
 
 	reservedMargin  int     // descriptors that a predecessor may use in addition to those that it reports
-	pendingQueries  []Query // operators' DisableHost and EnableHost from before the predecessor handed over the clients
 	inheritedExpiry float64 // when inherited connections expire after the predecessor's end; 0 if none are awaited
 }
 
@@ -99,10 +102,6 @@
 		n.addInherited(&state.Connections[i])
 	}
 	n.connections.reserved = state.Descriptors + n.upgrade.reservedMargin
-	// An operator's query may have arrived here after the predecessor recorded its state, which would otherwise undo it.
-	for _, query := range n.upgrade.pendingQueries {
-		n.setAdministrativelyDisabled(query.Host, query.Question == DisableHost)
-	}
 }
 
 // restoreList applies the predecessor's endpoint list unless this process has received a newer one.
@@ -170,7 +169,7 @@
 // notifySuccessor notifies a successor, if there is one, of a change in this process.
 func (n *Node) notifySuccessor(update HandoverUpdate) {
 	if n.upgrade.successorNotified {
-		n.emit(UpdatePeerProcess{update})
+		n.emit(UpdatePeerProcess{update, AnyPeer})
 	}
 }
 
@@ -181,17 +180,17 @@
 		return
 	}
 	n.upgrade.descriptorsNotified = inUse
-	n.emit(UpdatePeerProcess{HandoverUpdate{Descriptors: inUse}})
+	n.emit(UpdatePeerProcess{HandoverUpdate{Descriptors: inUse}, AnyPeer})
 }
 
-// applyPeerUpdate applies an update from the other process of an upgrade. A predecessor ignores updates about its
+// applyPeerUpdate applies an update from another process of an upgrade. A predecessor ignores updates about its
 // successor's connections and descriptors.
-func (n *Node) applyPeerUpdate(update HandoverUpdate) {
+func (n *Node) applyPeerUpdate(update HandoverUpdate, from Peer) {
 	switch {
 	case update.DisabledHost != "":
-		n.setAdministrativelyDisabled(update.DisabledHost, true)
+		n.applyPeerDecision(update.DisabledHost, administrativeState{true, update.HostRevision}, from)
 	case update.EnabledHost != "":
-		n.setAdministrativelyDisabled(update.EnabledHost, false)
+		n.applyPeerDecision(update.EnabledHost, administrativeState{false, update.HostRevision}, from)
 	case update.Revision != nil:
 		n.applyPeerRevision(*update.Revision)
 	case n.upgrade.clientsHandedOver:
--- a/internal/node/handover_golden_test.go
+++ b/internal/node/handover_golden_test.go
@@ -105,7 +105,7 @@
 			if err := json.Unmarshal([]byte(c.update), &update); err != nil {
 				t.Fatal(err)
 			}
-			n.Apply(1700000100, PeerProcessChanged{update})
+			n.Apply(1700000100, PeerProcessChanged{Update: update, From: Predecessor})
 			after := string(claimedState(t, n))
 			if !strings.Contains(after, c.after) || strings.Contains(after, c.before) {
 				t.Errorf("the state after the update must contain %s and not %s: %s", c.after, c.before, after)
--- a/internal/node/handover_harness_test.go
+++ b/internal/node/handover_harness_test.go
@@ -58,6 +58,7 @@
 		Handover:           exchangeJSON(harness, harness.query(ClaimHandover, "").Handover),
 	})
 	successor.apply(TimerFired{})
+	harness.successor = successor
 	return successor
 }
 
@@ -74,6 +75,28 @@
 	return decoded
 }
 
+// takeUpdates returns the inputs by which another process receives the updates that this process has sent to it, and
+// discards those to others.
+func (harness *testHarness) takeUpdates(other *testHarness) (inputs []Input) {
+	harness.Helper()
+	from := harness.roleFor(other)
+	for _, sent := range harness.updates {
+		if sent.To != from {
+			inputs = append(inputs, PeerProcessChanged{Update: exchangeJSON(harness, sent.Update), From: from})
+		}
+	}
+	harness.updates = nil
+	return inputs
+}
+
+// roleFor returns what this process is for another one.
+func (harness *testHarness) roleFor(other *testHarness) Peer {
+	if harness.successor == other {
+		return Predecessor
+	}
+	return Successor
+}
+
 // handOverTo hands the clients over to a successor.
 func (harness *testHarness) handOverTo(successor *testHarness) {
 	harness.Helper()
@@ -100,8 +123,8 @@
 		}
 		harness.apply(ConnectionSent{sent.Conn, !lost})
 	}
-	for ; len(harness.updates) > 0; harness.updates = harness.updates[1:] {
-		other.apply(PeerProcessChanged{exchangeJSON(harness, harness.updates[0])})
+	for _, update := range harness.takeUpdates(other) {
+		other.apply(update)
 	}
 	return ids
 }
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -55,7 +55,8 @@
 	closeRequests    int  // how many times CloseListener was emitted
 	exited           bool
 
-	updates   []HandoverUpdate
+	successor *testHarness // the process that startSuccessor started last, nil for none
+	updates   []UpdatePeerProcess
 	transfers []SendConnection
 	boundHost BindHostConnection
 }
@@ -173,7 +174,7 @@
 	case Exit:
 		harness.exited = true
 	case UpdatePeerProcess:
-		harness.updates = append(harness.updates, effect.Update)
+		harness.updates = append(harness.updates, effect)
 	case SendConnection:
 		harness.transfers = append(harness.transfers, effect)
 	case BindHostConnection:
--- a/internal/node/host_overrides.go
+++ b/internal/node/host_overrides.go
@@ -72,7 +72,7 @@
 		host.disabledBySettings = disabled
 		n.logDisabledBySettings(host)
 	}
-	n.balancer.SetDisabled(n.now, index, host.administrativelyDisabled || disabled)
+	n.balancer.SetDisabled(n.now, index, host.administrative.disabled || disabled)
 }
 
 // logDisabledBySettings logs that the live settings disable a host now, or no longer do.
@@ -93,12 +93,12 @@
 func (n *Node) restoreSettings(state *HandoverState, indices []int) {
 	fits := n.peerRevisionFits(state.Revision)
 	for i, index := range indices {
-		host := &n.endpoints.hosts[index]
+		name := n.endpoints.hosts[index].name
+		disabled := i < len(state.Balancer.Servers) && state.Balancer.Servers[i].Disabled
 		if fits {
-			host.administrativelyDisabled = slices.Contains(state.AdministrativelyDisabled, host.name)
-		} else {
-			host.administrativelyDisabled = i < len(state.Balancer.Servers) && state.Balancer.Servers[i].Disabled
+			disabled = slices.Contains(state.AdministrativelyDisabled, name)
 		}
+		n.restoreDecision(index, administrativeState{disabled, state.HostRevisions[name]})
 	}
 	if fits && state.Revision.NewerThan(n.live.revision) {
 		n.enforceRevision(*state.Revision)
@@ -120,8 +120,15 @@
 	return true
 }
 
-// addSettingsTo adds the revision in force and the administratively disabled hosts to the state for a successor.
+// addSettingsTo adds the revision in force and the operators' decisions on hosts to the state for a successor.
 func (n *Node) addSettingsTo(state *HandoverState) {
+	state.HostRevisions = map[string]int64{}
+	for i := range n.endpoints.hosts {
+		host := &n.endpoints.hosts[i]
+		if host.administrative.revision > 0 {
+			state.HostRevisions[host.name] = host.administrative.revision
+		}
+	}
 	if n.live.revision.IsZero() {
 		return
 	}
@@ -129,7 +136,7 @@
 	state.Revision = &revision
 	for i := range n.endpoints.hosts {
 		host := &n.endpoints.hosts[i]
-		if host.administrativelyDisabled {
+		if host.administrative.disabled {
 			state.AdministrativelyDisabled = append(state.AdministrativelyDisabled, host.name)
 		}
 	}
--- a/internal/node/inputs.go
+++ b/internal/node/inputs.go
@@ -95,8 +95,11 @@
 type (
 	// HandoverReceived contains the state that the predecessor hands over.
 	HandoverReceived struct{ State *HandoverState }
-	// PeerProcessChanged contains an update from the other process.
-	PeerProcessChanged struct{ Update HandoverUpdate }
+	// PeerProcessChanged contains an update from another process.
+	PeerProcessChanged struct {
+		Update HandoverUpdate
+		From   Peer
+	}
 	// ConnectionReceived is an open connection of the predecessor. Conn is the client's connection, with the id of an
 	// accepted one; BindHostConnection assigns the id of the host's connection.
 	ConnectionReceived struct {
@@ -139,6 +142,27 @@
 func (SuccessorGone) input()      {}
 func (PredecessorGone) input()    {}
 
+// Peer says which other process of the node is meant. A process may have a predecessor and a successor at once.
+type Peer uint8
+
+// The peers.
+const (
+	AnyPeer Peer = iota // the predecessor and the successor, or whichever there is
+	Predecessor
+	Successor
+)
+
+// opposite returns the other one of the two peers.
+func (p Peer) opposite() Peer {
+	switch p {
+	case Predecessor:
+		return Successor
+	case Successor:
+		return Predecessor
+	}
+	return AnyPeer
+}
+
 // Question is the kind of a Query.
 type Question uint8
 
--- a/internal/node/live_settings.go
+++ b/internal/node/live_settings.go
@@ -74,7 +74,7 @@
 	n.applyHostOverrides()
 	n.applyDiscovery(next.Discovery, previous.Settings.Discovery)
 	n.emit(RevisionInForce{Revision: revision, Ignored: ignored})
-	n.emit(UpdatePeerProcess{HandoverUpdate{Revision: &revision}})
+	n.emit(UpdatePeerProcess{HandoverUpdate{Revision: &revision}, AnyPeer})
 	return ignored, nil
 }
 
--- a/internal/sockets/effects.go
+++ b/internal/sockets/effects.go
@@ -43,7 +43,7 @@
 			s.fleet.SetInForce(e.Revision, e.Ignored)
 		}
 	case node.UpdatePeerProcess:
-		s.postUpdate(&e.Update)
+		s.postUpdate(e)
 	case node.SendConnection:
 		s.sendConnection(e)
 	case node.BindHostConnection:
--- a/internal/sockets/upgrade.go
+++ b/internal/sockets/upgrade.go
@@ -97,7 +97,7 @@
 	u := &s.upgrade
 	switch {
 	case m.Update != nil && (p == u.predecessor || p == u.successor):
-		return node.PeerProcessChanged{Update: *m.Update}
+		return node.PeerProcessChanged{Update: *m.Update, From: u.roleOf(p)}
 	case m.State != nil && p == u.predecessor && !s.listener.opened:
 		s.listener.requestOpen()
 		return node.HandoverReceived{State: m.State}
@@ -152,11 +152,23 @@
 	s.upgrade.successor.post(m)
 }
 
-// postUpdate sends an update of the core's state to the predecessor and the successor, if there are any.
-func (s *server) postUpdate(update *node.HandoverUpdate) {
-	m := outgoingMessage{Message: handover.Message{Update: update}}
-	s.upgrade.predecessor.post(m) // post does nothing for nil
-	s.upgrade.successor.post(m)
+// postUpdate sends an update of the core's state to the predecessor, the successor or both, if there are any.
+func (s *server) postUpdate(e node.UpdatePeerProcess) {
+	m := outgoingMessage{Message: handover.Message{Update: &e.Update}}
+	if e.To != node.Successor {
+		s.upgrade.predecessor.post(m) // post does nothing for nil
+	}
+	if e.To != node.Predecessor {
+		s.upgrade.successor.post(m)
+	}
+}
+
+// roleOf returns whether a process is the predecessor or the successor. It must be one of them.
+func (u *upgrade) roleOf(p *peerProcess) node.Peer {
+	if p == u.predecessor {
+		return node.Predecessor
+	}
+	return node.Successor
 }
 
 // inheritConnection adds the client's socket of a connection that the predecessor transferred, and keeps the host's socket
