node: an agent that refuses calls is asked again within the grace on drains

Cause: what the agent gets at the return counts as told at once, but after a refused call the next one came 0.125 to 0.375 s later; the node did not know the grace.

Evidence: TestPushedChangeIsInForceWithinTheGrace (virtual clock, calls refused for 9 s, 20 plays a grace): before, the change is in force 0.285 s after the return at the latest, so it fails at 0.05 and at 0.25 s. Now 0.030 and 0.126 s.

Why this works: the node reads stop_sending_within_us and repeats a refused call after half of it, 0.02 s at least and 0.5 s at most, beside the calls of the balancer. Only those count as failed calls and are logged, so that two quick refusals are no reason to use the cached list. Calls to the agent in an outage: 34 a second in place of 4.3 at a grace of 0.05 s, 9.8 at 0.25 s, 6.2 at 0.5 s, as before from 1 s on. Without the key, and where lists are asked for, nothing changes.

The golden settings stay as they are; the key has a golden file of its own. The emulator's agents let calls wait and do not refuse them, so its settings do not have the key.

--- a/internal/livesettings/rejection.go
+++ b/internal/livesettings/rejection.go
@@ -15,7 +15,7 @@
 	"limits.cores", "limits.memory_mb", "limits.dial_timeout_us", "limits.peers", "limits.probes", "limits.retry_after",
 	"family_info", "granularity_us", "membership_mode", "parties", "reporting", "me", "zones",
 	"service_types.*.name", "service_types.*.effect", "service_types.*.group", "service_types.*.give_up_us",
-	"service_types.*.memory_span_us",
+	"service_types.*.memory_span_us", "invariants.stop_sending_within_us",
 }
 
 // renamedKeys are the patterns of keys that have another name in the startup configuration of a node than in a live
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -17,6 +17,11 @@
 	// agentPollInterval is the longest time until a new watch is asked for if lists are pushed to an agent on the same
 	// machine. No other node waits for that agent, and a list that it has is in force at once.
 	agentPollInterval = 0.5
+
+	// agentPollsPerGrace is how many times within the grace of a drain an agent is asked again that has refused a call, as
+	// the grace begins when the agent has the drain.
+	agentPollsPerGrace = 2
+	minAgentPause      = 0.02 // between two such calls, however short the grace is
 )
 
 // watchState is the state of the watch of the endpoint list.
@@ -34,11 +39,19 @@
 	lastActivity    float64 // when the watch was last asked for or last sent anything
 	listConfirmedAt float64 // when a watch last sent a complete line, or else when this process started
 	lineStartedAt   float64 // when the first part of a line that is still incomplete was received; 0 for none
+
+	retryAt  float64 // when an agent that has refused a call is asked again, 0 if the balancer alone decides
+	retrying bool    // the call under way was made at retryAt
 }
 
-// deadline returns when the watch counts as silent for too long, infinite if there is no watch.
+// deadline returns when the watch counts as silent for too long, or when a new one is to be asked for if there is none. It
+// is infinite if there is neither.
 func (w *endpointWatch) deadline() float64 {
 	switch w.state {
+	case watchIdle:
+		if w.retryAt > 0 {
+			return w.retryAt
+		}
 	case watchRequested:
 		return w.lastActivity + watchAnswerTimeout
 	case watchActive:
@@ -63,6 +76,7 @@
 	if w.state != watchIdle {
 		w.state = watchActive
 		w.lastActivity = now
+		w.retrying = false
 	}
 }
 
@@ -71,6 +85,8 @@
 	w.state = watchRequested
 	w.lastActivity = now
 	w.lineStartedAt = 0
+	w.retryAt = 0
+	w.retrying = false
 }
 
 // age returns how many seconds ago the list was last confirmed.
@@ -92,10 +108,18 @@
 	n.watchEndpoints()
 }
 
-// watchEnded handles the end of a watch, or of a call that asked for one.
+// watchEnded handles the end of a watch, or of a call that asked for one. An agent on the same machine is asked again within
+// the grace, beside the calls that the balancer asks for, which alone count as failed.
 func (n *Node) watchEnded(kind placement.ListKind, reason string) {
-	n.endpoints.failedCalls++
 	n.watch.state = watchIdle
+	if n.listener.ListPushed && n.listener.DrainGrace > 0 {
+		pause := n.listener.DrainGrace / agentPollsPerGrace
+		n.watch.retryAt = n.now + min(max(pause, minAgentPause), agentPollInterval)
+	}
+	if n.watch.retrying {
+		return
+	}
+	n.endpoints.failedCalls++
 	n.balancer.UpdateEndpoints(n.now, kind, nil)
 	n.emit(WriteLog{fmt.Sprintf("discovery: %s, the list is %.1f s old", reason, n.watch.age(n.now))})
 }
@@ -107,6 +131,11 @@
 	if n.now < n.watch.deadline() {
 		return
 	}
+	if n.watch.state == watchIdle {
+		n.watchEndpoints()
+		n.watch.retrying = true
+		return
+	}
 	if n.watch.state == watchRequested && !n.listener.ListPushed {
 		n.endpoints.failedCalls++
 		n.watch.lastActivity = n.now
--- a/internal/node/watch_orders_test.go
+++ b/internal/node/watch_orders_test.go
@@ -103,6 +103,12 @@
 	return strings.Replace(text, `"siblings":1`, fmt.Sprintf(`"siblings":%d`, nodes), 1)
 }
 
+// withGrace returns settings with a grace of drains in seconds.
+func withGrace(text string, grace float64) string {
+	key := fmt.Sprintf(`{"stop_sending_within_us":%.0f,`, grace*1e6)
+	return strings.Replace(text, `"invariants":{`, `"invariants":`+key, 1)
+}
+
 // missedChanges are the orders of silence, failing calls and return in which a node misses a change, numbered as the rows of
 // docs/endpoint-list.md.
 var missedChanges = []struct {
@@ -158,6 +164,54 @@
 	}
 }
 
+// What an agent gets at discovery's return counts as told at once, so a node that asks the agent too rarely sends flows to
+// draining hosts after the grace. Where the agent refuses calls during an outage, the node has the change within the grace
+// after the return, for each grace of the operators' deployments, and asks no more often than the grace requires.
+func TestPushedChangeIsInForceWithinTheGrace(t *testing.T) {
+	const (
+		downUntil     = 9.0   // seconds
+		shortestPause = 0.125 // seconds between two calls that the balancer asks for
+	)
+	for _, grace := range []float64{0.05, 0.25, 0.3, 0.5, 1, 3} {
+		t.Run(fmt.Sprintf("grace %g s", grace), func(t *testing.T) {
+			latest, perSecond := 0.0, 0.0
+			for step := range 20 {
+				harness := newHarnessWith(t, withGrace(listSettings("automatic", 10), grace), "proxy", 3, 100)
+				harness.node.balancer.Seed = uint64(step)
+				until := downUntil + 0.013*float64(step)
+				outage := scriptedDiscovery{reset: true, changeAt: 5, downFrom: 0, downUntil: until}
+				latest = max(latest, outage.inForceAt(t, harness, 30)-until)
+				perSecond = max(perSecond, float64(len(harness.watchIndices))/until)
+			}
+			if latest > grace {
+				t.Errorf("in force %.3f s after the return, want at most the grace of %g s", latest, grace)
+			}
+			if most := agentPollsPerGrace/grace + 1/shortestPause; perSecond > most {
+				t.Errorf("%.1f calls a second in the outage, want at most %.1f", perSecond, most)
+			}
+			t.Logf("in force %.3f s after the return at the latest, %.1f calls a second in the outage", latest, perSecond)
+		})
+	}
+}
+
+// An agent may answer a call that a node repeats by itself. If that watch's end counted as another such call, nobody would
+// learn of it. It is reported like the end of any watch.
+func TestEndOfWatchAfterRetryIsReported(t *testing.T) {
+	harness := newHarnessWith(t, withGrace(listSettings("automatic", 10), 0.05), "proxy", 3, 100)
+	harness.watchSilent = true
+	harness.apply(WatchFailed{Reason: "reset"})
+	failed := harness.node.endpoints.failedCalls
+	harness.advance(0.04)
+	if !harness.node.watch.retrying {
+		t.Fatal("the agent was not asked again within the grace")
+	}
+	harness.apply(WatchAlive{})
+	harness.apply(WatchFailed{Reason: "reset"})
+	if got := harness.node.endpoints.failedCalls; got != failed+1 {
+		t.Errorf("%d calls have failed, want %d", got, failed+1)
+	}
+}
+
 // A node that rejected its clients while it cannot reach discovery would reject all of them for as long as the outage
 // lasts, with sound hosts. It goes on serving by the list that it has.
 func TestNodeServesDuringOutageOfDiscovery(t *testing.T) {
--- a/internal/settings/object.go
+++ b/internal/settings/object.go
@@ -20,8 +20,9 @@
 		PollInterval     float64 `json:"ask_within_us"`
 		SlowStartShare   float64 `json:"cold_from"` // fraction of its capacity that a server has when it starts
 		SlowStartTime    float64 `json:"cold_us"`
-		OverloadMultiple float64 `json:"fall_multiple"` // multiple of its capacity above which a server in slow start fails
-		OverloadWindow   float64 `json:"fall_us"`       // how long the server withstands a load above that multiple
+		OverloadMultiple float64 `json:"fall_multiple"`                    // multiple of its capacity above which a server in slow start fails
+		OverloadWindow   float64 `json:"fall_us"`                          // how long the server withstands a load above that multiple
+		DrainGrace       float64 `json:"stop_sending_within_us,omitempty"` // omitted to encode settings.json as it is
 	} `json:"invariants"`
 	Limits struct {
 		DialTimeout   float64 `json:"dial_timeout_us"`
@@ -109,6 +110,7 @@
 		{"invariants.cold_us", o.Invariants.SlowStartTime},
 		{"invariants.fall_multiple", o.Invariants.OverloadMultiple},
 		{"invariants.fall_us", o.Invariants.OverloadWindow},
+		{"invariants.stop_sending_within_us", o.Invariants.DrainGrace},
 		{"limits.dial_timeout_us", o.Limits.DialTimeout},
 		{"limits.max_connects", o.Limits.MaxAttempts},
 		{"limits.max_retry_after_us", o.Limits.MaxRetryAfter},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	Zones             []string // names of the zones, by the balancer's index
 	DialTimeout       float64  // longest time to establish a connection; one that takes longer is never established
 	MaxConnectTimeout float64  // longest connect timeout of any service type's clients
+	DrainGrace        float64  // time after which a draining host gets nothing new; 0 if the settings have none
 	ReportsLoad       bool     // hosts report the load of each connection
 	ReportsDelay      bool     // hosts report message delays
 	ListPushed        bool     // endpoint lists are pushed to an agent on the node's machine and need no polls
@@ -125,6 +126,7 @@
 		ReportFields: o.Reporting.Fields,
 		Zones:        o.Zones,
 		DialTimeout:  seconds(o.Limits.DialTimeout),
+		DrainGrace:   seconds(o.Invariants.DrainGrace),
 		ReportsLoad:  o.Family.ReportsLoad,
 		ReportsDelay: o.Family.ReportsDelay,
 		PassThrough:  o.Family.Mode == modePassThrough,
--- a/internal/settings/settings_golden_test.go
+++ b/internal/settings/settings_golden_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"reflect"
 	"testing"
 
@@ -12,17 +13,32 @@
 )
 
 // testdata/settings.json has every key of the settings object that revision 5fa7498 decodes. Deployments and the simulator use
-// these keys, so the file must never change, and no flag rewrites it.
+// these keys, so the file must never change, and no flag rewrites it. testdata/drain-grace.json has a key that was added later.
 
 func goldenSettings(t *testing.T) []byte {
 	t.Helper()
-	text, err := os.ReadFile("testdata/settings.json")
+	return readGolden(t, "settings.json")
+}
+
+func readGolden(t *testing.T, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", name))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return text
 }
 
+// decodeStrictly decodes a golden file into settings, which keep the values of keys that the file does not have.
+func decodeStrictly(t *testing.T, text []byte, settings *object) {
+	t.Helper()
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(settings); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // checkNonZero fails the test if v, or any field or element in it, is zero. path is the name of v in failure messages.
 func checkNonZero(t *testing.T, path string, v reflect.Value) {
 	t.Helper()
@@ -48,17 +64,22 @@
 // for each key and nothing else, and are the same after they are decoded and encoded again.
 func TestGoldenSettingsHaveEveryKey(t *testing.T) {
 	text := goldenSettings(t)
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
 	var settings object
-	if err := decoder.Decode(&settings); err != nil {
-		t.Fatal(err)
-	}
-	checkNonZero(t, "settings", reflect.ValueOf(settings))
+	decodeStrictly(t, text, &settings)
 	again, err := json.Marshal(settings)
 	if err != nil || string(again)+"\n" != string(text) {
 		t.Errorf("error %v, encoded again:\n%s\nwant:\n%s", err, again, text)
 	}
+	decodeStrictly(t, readGolden(t, "drain-grace.json"), &settings)
+	checkNonZero(t, "settings", reflect.ValueOf(settings))
+}
+
+// A wrong unit of the grace would make a node ask its agent too late, or without a pause.
+func TestGoldenDrainGraceIsRead(t *testing.T) {
+	_, listener, err := Parse(readGolden(t, "drain-grace.json"), 1)
+	if err != nil || listener.DrainGrace != 0.40625 {
+		t.Errorf("grace %g s, error %v, want 0.40625 s", listener.DrainGrace, err)
+	}
 }
 
 // A key that is decoded into the wrong field or with the wrong unit would change the decisions of every deployment. Each value
