discovery: lists may come indented, over several lines

Callers would see: where discovery sends a list over several lines, the node's watch ends with "does not parse", again and again, and the node goes on by its old list.

Cause: readLists took each line for a list.

A list that never ends counts as a line that never ends (4 s), also where each of its lines does: the activity reader follows the brackets.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,9 +3,6 @@
 package discovery
 
 import (
-	"bufio"
-	"bytes"
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,14 +13,9 @@
 	"gorseledge/internal/discovery/endpoint"
 )
 
-const (
-	maxListBytes     = 16 << 20 // maximum size of one list; a larger one ends the watch
-	initialLineBytes = 4096     // initial size of the buffer for a list
-
-	// minActivityInterval is the minimum time between two calls of onActivity with the same argument, so that a burst of
-	// reads does not cause a call for each.
-	minActivityInterval = 100 * time.Millisecond
-)
+// minActivityInterval is the minimum time between two calls of onActivity with the same argument, so that a burst of reads
+// does not cause a call for each.
+const minActivityInterval = 100 * time.Millisecond
 
 // DialFunc makes a connection, like the method DialContext of net.Dialer.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -44,13 +36,14 @@
 	return &Client{address: address, http: &http.Client{Transport: transport}}
 }
 
-// activityReader calls onActivity when bytes are read. The argument is true if the bytes end in the middle of a line, as
-// when a long list arrives in pieces.
+// activityReader calls onActivity when bytes are read. The argument is true if the bytes end in the middle of a line or of
+// a list over several lines, as when a long list arrives in pieces.
 type activityReader struct {
 	io.Reader
-	onActivity  func(midLine bool)
+	onActivity  func(midList bool)
+	depth       objectDepth
 	lastCall    time.Time
-	lastMidLine bool
+	lastMidList bool
 }
 
 // Read reads some bytes. It then calls onActivity if the argument differs from that of the last call, or if that call was
@@ -60,19 +53,20 @@
 	if n == 0 {
 		return n, err
 	}
-	midLine := p[n-1] != '\n'
-	if midLine != r.lastMidLine || time.Since(r.lastCall) >= minActivityInterval {
+	r.depth.advance(p[:n])
+	midList := p[n-1] != '\n' || !r.depth.between()
+	if midList != r.lastMidList || time.Since(r.lastCall) >= minActivityInterval {
 		r.lastCall = time.Now()
-		r.lastMidLine = midLine
-		r.onActivity(midLine)
+		r.lastMidList = midList
+		r.onActivity(midList)
 	}
 	return n, err
 }
 
 // Watch passes each list later than index to received, until the watch fails or ctx is done. It always returns a non-nil
 // error, which is the reason for the end. Watch calls onActivity when the answer begins and as bytes of it arrive; the
-// argument is true if the bytes received so far end in the middle of a line.
-func (c *Client) Watch(ctx context.Context, index int64, onActivity func(midLine bool), received func(endpoint.List)) error {
+// argument is true if the bytes received so far end in the middle of a list.
+func (c *Client) Watch(ctx context.Context, index int64, onActivity func(midList bool), received func(endpoint.List)) error {
 	url := fmt.Sprintf("http://%s/discovery/hosts?stream=1&index=%d", c.address, index)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -89,22 +83,3 @@
 	onActivity(false)
 	return readLists(&activityReader{Reader: response.Body, onActivity: onActivity}, received)
 }
-
-// readLists reads lists, one per line, until the end of the stream or an error. At the end of the stream it returns io.EOF.
-// It skips empty lines, which discovery sends as keep-alives.
-func readLists(r io.Reader, received func(endpoint.List)) error {
-	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 0, initialLineBytes), maxListBytes)
-	for lines.Scan() {
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
-		}
-		list, err := endpoint.Parse(text)
-		if err != nil { // if the stream failed in the middle of a line, the stream's error is the cause
-			return cmp.Or(lines.Err(), fmt.Errorf("endpoint list does not parse: %w", err))
-		}
-		received(list)
-	}
-	return cmp.Or(lines.Err(), io.EOF)
-}
