generations: what is handed over of ended flows and client loads is bounded

Callers would see, after many upgrades in a row: the state of an upgrade outgrows the 8 MiB of a message, and the new process starts without a handover.

Cause: ids of ended flows and loads of clients are kept in two generations, but a process took all that it inherited for one generation, whatever its size, and handed it over with its own on top.

Why this works: one type for both hands over at most twice the limit of a generation, the newest first, and takes over no more. The two copies of the generations' code are gone.

--- a/internal/node/flow_ids.go
+++ b/internal/node/flow_ids.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"gorseledge/internal/generations"
 	"gorseledge/internal/line"
 )
 
@@ -16,18 +17,15 @@
 	open      map[string]*flow
 	inherited map[string]*InheritedConnection // connections of the predecessor, by id
 
-	// Client keys by the hash of an ended flow's id, in two generations: once recentlyEnded is full, it replaces
-	// previouslyEnded.
-	recentlyEnded   map[uint64]uint64
-	previouslyEnded map[uint64]uint64
+	ended generations.Map[uint64] // client keys by the hash of an ended flow's id
 }
 
 // newFlowIDs returns an empty index.
 func newFlowIDs() flowIDs {
 	return flowIDs{
-		open:          map[string]*flow{},
-		inherited:     map[string]*InheritedConnection{},
-		recentlyEnded: map[uint64]uint64{},
+		open:      map[string]*flow{},
+		inherited: map[string]*InheritedConnection{},
+		ended:     generations.New[uint64](maxEndedIDs),
 	}
 }
 
@@ -41,11 +39,7 @@
 	if inherited := ids.inherited[opening.ID]; inherited != nil {
 		return !opening.MidFlow || opening.ClientKey != inherited.ClientKey
 	}
-	hash := line.Hash([]byte(opening.ID))
-	key, ended := ids.recentlyEnded[hash]
-	if !ended {
-		key, ended = ids.previouslyEnded[hash]
-	}
+	key, ended := ids.ended.Get(line.Hash([]byte(opening.ID)))
 	return ended && key != opening.ClientKey
 }
 
@@ -62,25 +56,7 @@
 
 // rememberEnded stores the client key of an ended flow by the flow's id.
 func (ids *flowIDs) rememberEnded(id string, key uint64) {
-	if len(ids.recentlyEnded) >= maxEndedIDs {
-		ids.previouslyEnded = ids.recentlyEnded
-		ids.recentlyEnded = map[uint64]uint64{}
-	}
-	ids.recentlyEnded[line.Hash([]byte(id))] = key
-}
-
-// endedKeys returns the client keys of all ended flows that are remembered, by the hash of the flow's id.
-func (ids *flowIDs) endedKeys() map[uint64]uint64 {
-	all := make(map[uint64]uint64, len(ids.recentlyEnded)+len(ids.previouslyEnded))
-	maps.Copy(all, ids.previouslyEnded)
-	maps.Copy(all, ids.recentlyEnded)
-	return all
-}
-
-// restoreEnded replaces the remembered ended flows by those of the predecessor.
-func (ids *flowIDs) restoreEnded(keys map[uint64]uint64) {
-	ids.recentlyEnded = map[uint64]uint64{}
-	ids.previouslyEnded = keys
+	ids.ended.Set(line.Hash([]byte(id)), key)
 }
 
 // inheritedIDs returns the ids of the predecessor's connections, sorted.
--- a/internal/node/flow_ids_test.go
+++ b/internal/node/flow_ids_test.go
@@ -60,8 +60,8 @@
 	for i := range 3 * maxEndedIDs {
 		ids.remove(&flow{opening: line.Opening{ID: fmt.Sprint("later", i)}})
 	}
-	kept := len(ids.recentlyEnded) + len(ids.previouslyEnded)
-	if kept > 2*maxEndedIDs || kept != len(ids.endedKeys()) {
+	kept := ids.ended.Len()
+	if kept > 2*maxEndedIDs || kept != len(ids.ended.All()) {
 		t.Fatalf("%d ids kept", kept)
 	}
 	if ids.conflicts(line.Opening{ID: "7"}) {
--- a/internal/node/flow_test.go
+++ b/internal/node/flow_test.go
@@ -18,8 +18,8 @@
 	if table.count() != 2 || table.byIndex[1] != nil || table.ids.open["b"] != nil {
 		t.Errorf("%d flows left, or the removed one is still known", table.count())
 	}
-	if len(table.ids.endedKeys()) != 1 {
-		t.Errorf("%d ids of ended flows, wanted 1", len(table.ids.endedKeys()))
+	if len(table.ids.ended.All()) != 1 {
+		t.Errorf("%d ids of ended flows, wanted 1", len(table.ids.ended.All()))
 	}
 	next := &flow{}
 	table.add(next)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -69,7 +69,7 @@
 		Index:        n.endpoints.listIndex,
 		ListReceived: n.endpoints.listReceived,
 		Balancer:     n.balancer.HandoverState(),
-		EndedFlows:   n.flows.ids.endedKeys(),
+		EndedFlows:   n.flows.ids.ended.All(),
 		Descriptors:  n.connections.used() + n.connections.reserved,
 	}
 	for i := range n.endpoints.hosts {
@@ -96,7 +96,7 @@
 	n.restoreList(state)
 	n.restoreBalancer(state.Balancer, indices)
 	n.restoreSettings(state, indices)
-	n.flows.ids.restoreEnded(state.EndedFlows)
+	n.flows.ids.ended.Restore(state.EndedFlows)
 	n.removeAllInherited()
 	for i := range state.Connections {
 		n.addInherited(&state.Connections[i])
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"maps"
-	"math"
-)
+import "math"
 
 // ServerState is the state of one server that a balancer hands over to its successor. Times are in seconds on the host's
 // clock. The JSON names are those of the versions in service, with which state is exchanged, and must not change.
@@ -44,14 +41,12 @@
 func (b *Balancer) HandoverState() HandoverState {
 	state := HandoverState{
 		UsualLoads:       append([]float64(nil), b.loads.usual...),
-		ClientLoads:      map[uint64]float64{},
+		ClientLoads:      b.loads.byClient.All(),
 		ConcurrencyLimit: zeroForInfinite(b.concurrency.limit),
 		LimitLoweredAt:   b.concurrency.loweredAt,
 		ShortestCheck:    b.checks.shortestRoundTrip,
 		OverloadLevel:    b.overload.level,
 	}
-	maps.Copy(state.ClientLoads, b.loads.older)
-	maps.Copy(state.ClientLoads, b.loads.recent)
 	for i := range b.servers {
 		state.Servers = append(state.Servers, b.servers[i].handoverState())
 	}
@@ -64,8 +59,7 @@
 	if len(state.UsualLoads) == len(b.loads.usual) { // the service types may have changed with the version
 		copy(b.loads.usual, state.UsualLoads)
 	}
-	b.loads.recent = map[uint64]float64{}
-	maps.Copy(b.loads.recent, state.ClientLoads)
+	b.loads.byClient.Restore(state.ClientLoads)
 	b.concurrency.limit = infiniteForZero(state.ConcurrencyLimit)
 	b.concurrency.loweredAt = state.LimitLoweredAt
 	b.checks.shortestRoundTrip = state.ShortestCheck
--- a/placement/load_estimates.go
+++ b/placement/load_estimates.go
@@ -1,13 +1,16 @@
 package placement
 
-import "cmp"
+import (
+	"cmp"
+
+	"gorseledge/internal/generations"
+)
 
 const (
 	// initialLoad is the assumed load of a connection before any load was reported. Its unit does not matter, because
 	// loads are only compared with one another.
 	initialLoad = 0.02
-	// maxRecentLoads bounds the memory for client loads: when this many clients have recent loads, those become the
-	// older ones and the previous older ones are dropped.
+	// maxRecentLoads bounds the memory for client loads: the loads of at least so many clients are kept.
 	maxRecentLoads = 5000
 	// usualLoadDivisor is the divisor of one report in the moving average that is the usual load of a service type.
 	usualLoadDivisor = 32
@@ -15,13 +18,12 @@
 
 // loadEstimates holds the expected loads of connections, from the loads that were reported.
 type loadEstimates struct {
-	usual  []float64          // usual load by service type; 0 before any report
-	recent map[uint64]float64 // last reported load by hash of the client key
-	older  map[uint64]float64 // content of recent before it was last emptied
+	usual    []float64                // usual load by service type; 0 before any report
+	byClient generations.Map[float64] // last reported load by hash of the client key
 }
 
 func newLoadEstimates(serviceTypes int) loadEstimates {
-	return loadEstimates{usual: make([]float64, serviceTypes), recent: map[uint64]float64{}}
+	return loadEstimates{usual: make([]float64, serviceTypes), byClient: generations.New[float64](maxRecentLoads)}
 }
 
 // ReportLoad reports the load of an established connection, as a fraction of a server's capacity or in any other unit
@@ -41,11 +43,7 @@
 // add records the reported load of a flow. The first report is also used for every other service type until that has
 // reports of its own.
 func (l *loadEstimates) add(f *flow, load float64) {
-	if len(l.recent) >= maxRecentLoads {
-		l.older = l.recent
-		l.recent = map[uint64]float64{}
-	}
-	l.recent[f.clientHash] = load
+	l.byClient.Set(f.clientHash, load)
 	for serviceType := range l.usual {
 		if l.usual[serviceType] == 0 {
 			l.usual[serviceType] = load
@@ -70,5 +68,6 @@
 // expectedLoad returns the load that a flow is expected to have: the last one that was reported for its client, the one
 // given on arrival, or the usual one of its service type.
 func (b *Balancer) expectedLoad(f *flow) float64 {
-	return cmp.Or(b.loads.recent[f.clientHash], b.loads.older[f.clientHash], f.load, b.usualLoad(f.serviceType))
+	recent, older := b.loads.byClient.Values(f.clientHash)
+	return cmp.Or(recent, older, f.load, b.usualLoad(f.serviceType))
 }
