--- a/internal/node/endpoint_directory_test.go
+++ b/internal/node/endpoint_directory_test.go
@@ -11,10 +11,10 @@
 // address if a later list has none.
 func TestHostKeepsItsIndexAndAddress(t *testing.T) {
 	directory := newEndpointDirectory([]string{"a", "b"})
-	first := directory.update(endpoint.Host{Name: "s-64", Address: "h0", Status: "SERVING"})
+	first := directory.update(endpoint.Host{Name: "s-64", Address: "h0", Status: "SERVING"}, 1)
 	second := directory.indexOf("s-65")
-	directory.removeAll()
-	again := directory.update(endpoint.Host{Name: "s-64", Status: "DRAINING"})
+	directory.removeAll(2)
+	again := directory.update(endpoint.Host{Name: "s-64", Status: "DRAINING"}, 3)
 	if first != 0 || second != 1 || again != first {
 		t.Errorf("indices %d, %d and %d, wanted 0, 1 and 0", first, second, again)
 	}
@@ -42,7 +42,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			directory := newEndpointDirectory(nil)
-			if got := directory.stateOf(directory.update(c.listing)); got != c.want {
+			if got := directory.stateOf(directory.update(c.listing, 1)); got != c.want {
 				t.Errorf("state %v, wanted %v", got, c.want)
 			}
 		})
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -27,12 +27,14 @@
 	statusRemoved: placement.Removed,
 }
 
-// listedHost is the state of a host that was listed at least once.
+// listedHost is the state of a host that is listed or was removed.
 type listedHost struct {
 	name      string
 	address   string        // the address that was listed last, empty if no list had one
 	listing   endpoint.Host // the host's last entry in the list
 	lastHeard float64       // when the host last sent anything to this node
+	removedAt float64       // when the host was removed from the list, if it is not on it
+	forgotten bool          // the index is free: the fields are those of a host that was removed long ago
 
 	administrative     administrativeState // what operators have decided by the admin address
 	disabledBySettings bool                // the live settings disabled the host when applyDisabled last compared them
@@ -44,10 +46,11 @@
 	return endpointStates[h.listing.Status] == placement.Ready && !disabled
 }
 
-// endpointDirectory holds all hosts that were ever listed, by the balancer's index, and how current the list is. A host
-// keeps its index for the life of the process.
+// endpointDirectory holds the hosts that are listed and those that were removed last, by the balancer's index, and how current
+// the list is. A host keeps its index until it is forgotten.
 type endpointDirectory struct {
 	hosts        []listedHost
+	freeIndices  []int // indices of forgotten hosts
 	byName       map[string]int
 	byID         map[uint32]int // by hostID
 	zones        map[string]int
@@ -79,15 +82,28 @@
 	if known {
 		return index
 	}
-	index = len(d.hosts)
+	index = d.newIndex()
 	d.byName[name] = index
 	d.byID[hostID(name)] = index
-	d.hosts = append(d.hosts, listedHost{name: name, listing: endpoint.Host{Name: name, Status: statusRemoved}})
+	d.hosts[index] = listedHost{name: name, listing: endpoint.Host{Name: name, Status: statusRemoved}}
 	return index
 }
 
-// update applies one entry of a list and returns the host's index. An entry without an address keeps the known one.
-func (d *endpointDirectory) update(listing endpoint.Host) int {
+// newIndex returns an index without a host: that of a forgotten host, or a new one.
+func (d *endpointDirectory) newIndex() int {
+	last := len(d.freeIndices) - 1
+	if last < 0 {
+		d.hosts = append(d.hosts, listedHost{})
+		return len(d.hosts) - 1
+	}
+	index := d.freeIndices[last]
+	d.freeIndices = d.freeIndices[:last]
+	return index
+}
+
+// update applies one entry of a list, received at the time now, and returns the host's index. An entry without an address
+// keeps the known one.
+func (d *endpointDirectory) update(listing endpoint.Host, now float64) int {
 	index := d.indexOf(listing.Name)
 	host := &d.hosts[index]
 	if listing.Address != "" {
@@ -95,13 +111,17 @@
 	}
 	listing.Address = host.address
 	host.listing = listing
+	host.removedAt = now
 	return index
 }
 
 // removeAll marks all hosts as not on the list, before a complete list is applied.
-func (d *endpointDirectory) removeAll() {
+func (d *endpointDirectory) removeAll(now float64) {
 	for i := range d.hosts {
-		d.hosts[i].listing.Status = statusRemoved
+		if d.hosts[i].listing.Status != statusRemoved {
+			d.hosts[i].listing.Status = statusRemoved
+			d.hosts[i].removedAt = now
+		}
 	}
 }
 
@@ -139,17 +159,18 @@
 		kind = placement.ListFull
 	}
 	n.applyList(kind, list)
+	n.forgetRemovedHosts()
 }
 
 // applyList applies an endpoint list, by which new flows are placed from here on.
 func (n *Node) applyList(kind placement.ListKind, list endpoint.List) {
 	n.endpoints.listIndex = list.Index
 	if kind != placement.ListChanges {
-		n.endpoints.removeAll()
+		n.endpoints.removeAll(n.now)
 	}
 	endpoints := make([]placement.Endpoint, 0, len(list.Hosts))
 	for _, listing := range list.Hosts {
-		host := n.endpoints.update(listing)
+		host := n.endpoints.update(listing, n.now)
 		endpoints = append(endpoints, n.endpointOf(host))
 	}
 	n.balancer.UpdateEndpoints(n.now, kind, endpoints)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -68,13 +68,10 @@
 	state := &HandoverState{
 		Index:        n.endpoints.listIndex,
 		ListReceived: n.endpoints.listReceived,
-		Balancer:     n.balancer.HandoverState(),
 		EndedFlows:   n.flows.ids.ended.All(),
 		Descriptors:  n.connections.used() + n.connections.reserved,
 	}
-	for i := range n.endpoints.hosts {
-		state.Hosts = append(state.Hosts, n.endpoints.hosts[i].listing)
-	}
+	n.addHostsTo(state)
 	for _, f := range n.flows.byIndex {
 		if f != nil && f.established && !f.ended {
 			state.Connections = append(state.Connections, *n.describeConnection(f))
@@ -87,6 +84,23 @@
 	return state
 }
 
+// addHostsTo adds the hosts that are not forgotten, and the balancer's state with its servers in their order.
+func (n *Node) addHostsTo(state *HandoverState) {
+	state.Balancer = n.balancer.HandoverState()
+	servers := state.Balancer.Servers
+	state.Balancer.Servers = nil
+	for i := range n.endpoints.hosts {
+		host := &n.endpoints.hosts[i]
+		if host.forgotten {
+			continue
+		}
+		state.Hosts = append(state.Hosts, host.listing)
+		if i < len(servers) {
+			state.Balancer.Servers = append(state.Balancer.Servers, servers[i])
+		}
+	}
+}
+
 // restore applies the state that the predecessor handed over. A later state replaces an earlier one.
 func (n *Node) restore(state *HandoverState) {
 	indices := make([]int, len(state.Hosts))
--- a/placement/endpoints.go
+++ b/placement/endpoints.go
@@ -89,6 +89,42 @@
 	s.check.inFlight = before.check.inFlight
 }
 
+// Forget discards everything that is known of servers, so that their indices can be used for other servers. It returns the
+// indices that are free now. A server stays as it is while it is on the list, disabled, or needed for a connection, a health
+// check or a flow.
+func (b *Balancer) Forget(indices []int) (free []int) {
+	needed := b.serversOfFlows()
+	for _, index := range indices {
+		s := b.server(index)
+		if s.listed || s.admin.disabled || s.inFlight > 0 || s.check.inFlight || needed[index] {
+			continue
+		}
+		*s = newServer()
+		free = append(free, index)
+	}
+	return free
+}
+
+// serversOfFlows returns the servers that the state of a flow refers to.
+func (b *Balancer) serversOfFlows() map[int]bool {
+	servers := map[int]bool{}
+	for i := range b.flows {
+		f := &b.flows[i]
+		if !f.live {
+			continue
+		}
+		servers[f.server] = true
+		servers[f.holder] = true
+		if f.ranAt >= 0 {
+			servers[f.ranServer] = true
+		}
+		for _, index := range f.tried {
+			servers[index] = true
+		}
+	}
+	return servers
+}
+
 // UpdateEndpoints reports an endpoint list, or the failure to get one. The items are all listed servers, or for
 // ListChanges only those that changed. They are ignored for ListFailed and ListTimedOut.
 func (b *Balancer) UpdateEndpoints(now float64, kind ListKind, items []Endpoint) {
