--- a/internal/node/handover_harness_test.go
+++ b/internal/node/handover_harness_test.go
@@ -39,6 +39,14 @@
 
 // startSuccessorThatKnows starts a successor that knows a list from its start settings.
 func (harness *testHarness) startSuccessorThatKnows(mode string, known endpoint.List) *testHarness {
+	harness.Helper()
+	successor := harness.newSuccessor(mode, known)
+	successor.apply(TimerFired{})
+	return successor
+}
+
+// newSuccessor returns a successor that has received no input yet.
+func (harness *testHarness) newSuccessor(mode string, known endpoint.List) *testHarness {
 	harness.Helper()
 	balancer, listener, err := settings.Parse(fmt.Appendf(nil, settingsJSON, mode), 8)
 	if err != nil {
@@ -57,7 +65,6 @@
 		HasPredecessor:     true,
 		Handover:           exchangeJSON(harness, harness.query(ClaimHandover, "").Handover),
 	})
-	successor.apply(TimerFired{})
 	harness.successor = successor
 	return successor
 }
