--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -95,7 +95,7 @@
 // checkAttemptOfFlow checks the rules that depend only on the flow of the attempt.
 func (c *checker) checkAttemptOfFlow(f *flow, h *host) {
 	now := c.sim.Now
-	if f.clientLeftAt > 0 && now > f.clientLeftAt+departureSlack {
+	if f.clientLeftAt > 0 && now > f.clientLeftAt+departureSlack+c.sim.longestHoldUp() {
 		c.report(RuleNoAttemptAfterDeparture, "flow %s was sent to %s %.3f s after its client left", f.id, h.name, now-f.clientLeftAt)
 	}
 	if f.openAttempts > 1 {
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -132,7 +132,7 @@
 // scheduleTimeout schedules the client to give up at its connect timeout.
 func (c *client) scheduleTimeout() {
 	generation, f := c.generation, c.flow
-	c.sim.After(c.traffic.ConnectTimeout, func() {
+	c.sim.After(c.traffic.ConnectTimeout+c.sim.options.AnswerSlack, func() {
 		if c.awaitsAnswer(generation, f) {
 			c.sim.result.Unanswered++
 			c.sim.checker.checkOverdue(f)
--- a/internal/emulator/node_process.go
+++ b/internal/emulator/node_process.go
@@ -25,6 +25,7 @@
 	connections     map[node.ConnID]*connection
 	lastConn        node.ConnID // ID of the client connection that was accepted last
 	idleAt          float64     // time at which all inputs so far are processed
+	heldUntil       float64     // time until which the process is held up
 	listCalls       listCalls
 	timerGeneration int                // number of the timer that is set; earlier ones have no effect
 	notifiedAt      map[string]float64 // by host name: time at which it was notified that the host is draining or removed
@@ -61,6 +62,7 @@
 	n.lastConn |= 1
 	n.timerGeneration++
 	n.idleAt = s.Now
+	n.heldUntil = s.Now
 	n.listCalls.end()
 	start.CachedList = s.discovery.completeList()
 	s.startCore(n, start)
@@ -110,16 +112,27 @@
 	inputTime := n.sim.script.Fleet.InputTime
 	n.idleAt = max(n.idleAt, n.sim.Now) + inputTime
 	n.cpuSeconds += inputTime
-	n.sim.At(n.idleAt, func() {
-		if !n.running || n.core != core {
-			return
-		}
-		in := makeInput()
-		if list, ok := in.(node.ListReceived); ok {
-			n.recordList(list.List)
-		}
-		n.perform(n.core.Apply(n.sim.startTime+n.sim.Now, in))
-	})
+	n.sim.At(n.idleAt, func() { n.process(core, makeInput, n.drawHoldUp()) })
+}
+
+// process passes an input to the core and carries out the effects, unless the process has ended by then.
+func (n *nodeProcess) process(core Core, makeInput func() node.Input, held holdUp) {
+	if !n.running || n.core != core {
+		return
+	}
+	if held.before > 0 {
+		n.holdUp(held.before)
+		held.before = 0
+	}
+	if n.sim.Now < n.heldUntil {
+		n.sim.At(n.heldUntil, func() { n.process(core, makeInput, held) })
+		return
+	}
+	in := makeInput()
+	if list, ok := in.(node.ListReceived); ok {
+		n.recordList(list.List)
+	}
+	n.performAfter(held.after, core.Apply(n.sim.startTime+n.sim.Now, in))
 }
 
 // query sends the core a query, as the admin address of a real node does. It returns the reply and carries out all other
--- a/internal/emulator/simulation.go
+++ b/internal/emulator/simulation.go
@@ -24,6 +24,11 @@
 	Permute        bool                        // run events that are due at the same time in a random order, generated from the seed
 	WrapCore       func(c Core) Core           // wraps each core, for example to plant a fault in it; nil for none
 	AdjustSettings func(r *placement.Settings) // modifies the settings of each node; nil for none
+
+	// HoldUpShare is the share of a node's inputs at which its process is held up for up to maxHoldUp. Scripts with upgrades or
+	// calls of operators must not use it.
+	HoldUpShare float64
+	AnswerSlack float64 // seconds after its connect timeout for which a client still waits for its answer
 }
 
 // simulation is one run of a script.
@@ -45,6 +50,7 @@
 	checker             *checker
 	result              *Result
 	random              *rand.Rand
+	holdUpRandom        *rand.Rand
 	settings            []byte // settings document of every node
 	recentTrace         []string
 	hash                hash.Hash64
@@ -71,15 +77,16 @@
 // newSimulation returns a simulation at time 0, with a running fleet and with all faults and the first arrivals scheduled.
 func newSimulation(script Scenario, seed uint64, o Options) *simulation {
 	s := &simulation{
-		script:      script,
-		options:     o,
-		seed:        seed,
-		startTime:   runStartUnixTime,
-		hostsByName: map[string]*host{},
-		flowsByID:   map[string]*flow{},
-		random:      newRandom(seed, "world", 0),
-		hash:        fnv.New64a(),
-		result:      newResult(script.Name, seed),
+		script:       script,
+		options:      o,
+		seed:         seed,
+		startTime:    runStartUnixTime,
+		hostsByName:  map[string]*host{},
+		flowsByID:    map[string]*flow{},
+		random:       newRandom(seed, "world", 0),
+		holdUpRandom: newRandom(seed, "hold-up", 0),
+		hash:         fnv.New64a(),
+		result:       newResult(script.Name, seed),
 	}
 	s.network = &network{
 		random:            newRandom(seed, "network", 0),
