--- a/internal/node/growth_test.go
+++ b/internal/node/growth_test.go
@@ -4,65 +4,13 @@
 	"flag"
 	"fmt"
 	"maps"
-	"reflect"
 	"slices"
 	"testing"
 
+	"gorseledge/internal/census"
 	"gorseledge/internal/discovery/endpoint"
 )
 
-// census counts the elements of every map, slice and channel that a value holds, by the path of its field. A slice counts
-// with its capacity, as that is the memory that it keeps.
-type census struct {
-	sizes   map[string]int
-	visited map[uintptr]bool
-}
-
-// takeCensus returns the sizes of everything that a node holds.
-func takeCensus(n *Node) map[string]int {
-	c := census{sizes: map[string]int{}, visited: map[uintptr]bool{}}
-	c.count("node", reflect.ValueOf(n))
-	return c.sizes
-}
-
-func (c *census) count(path string, v reflect.Value) {
-	switch v.Kind() {
-	case reflect.Pointer:
-		if !v.IsNil() && !c.visited[v.Pointer()] {
-			c.visited[v.Pointer()] = true
-			c.count(path, v.Elem())
-		}
-	case reflect.Interface:
-		if !v.IsNil() {
-			c.count(path, v.Elem())
-		}
-	case reflect.Struct:
-		for i := range v.NumField() {
-			c.count(path+"."+v.Type().Field(i).Name, v.Field(i))
-		}
-	case reflect.Slice:
-		c.sizes[path] += v.Cap()
-		c.countElements(path, v)
-	case reflect.Map:
-		c.sizes[path] += v.Len()
-		for _, key := range v.MapKeys() {
-			c.count(path+"[]", v.MapIndex(key))
-		}
-	case reflect.Chan:
-		c.sizes[path] += v.Cap()
-	}
-}
-
-// countElements counts what the elements of a slice hold, unless they hold nothing.
-func (c *census) countElements(path string, v reflect.Value) {
-	switch v.Type().Elem().Kind() {
-	case reflect.Struct, reflect.Pointer, reflect.Slice, reflect.Map, reflect.Interface:
-		for i := range v.Len() {
-			c.count(path+"[]", v.Index(i))
-		}
-	}
-}
-
 // longService is a node in a service of many rounds. In each of them clients come, some send requests that are answered, and
 // leave; a host is replaced by another one; and the live settings change.
 type longService struct {
@@ -189,10 +137,10 @@
 
 // sizeBounds are the bounds of what is kept of the connections and flows that have ended, two generations of each.
 var sizeBounds = map[string]int{
-	"node.flows.ids.ended.recent":         maxEndedIDs,
-	"node.flows.ids.ended.older":          2 * maxEndedIDs,
-	"node.balancer.loads.byClient.recent": 5000,
-	"node.balancer.loads.byClient.older":  2 * 5000,
+	"flows.ids.ended.recent":         maxEndedIDs,
+	"flows.ids.ended.older":          2 * maxEndedIDs,
+	"balancer.loads.byClient.recent": 5000,
+	"balancer.loads.byClient.older":  2 * 5000,
 }
 
 // If a node kept something of each connection, flow, host, list or upgrade, its memory would grow with its service, and what it
@@ -207,9 +155,9 @@
 			s := startLongService(t)
 			s.roundsAUpgrade = roundsAUpgrade
 			s.serve(*rounds)
-			before := takeCensus(s.node)
+			before := census.Take(s.node)
 			s.serve(3 * *rounds)
-			after := takeCensus(s.node)
+			after := census.Take(s.node)
 			for _, path := range slices.Sorted(maps.Keys(after)) {
 				if after[path] > sizeBounds[path] && float64(after[path]) > spread*float64(before[path])+few {
 					t.Errorf("%s: %d after %d rounds, %d after %d", path, before[path], *rounds, after[path], 4**rounds)
